First version: adapter, design path, health, cold budget, fit, near first

A runnable thin version of everything: the wire adapter, the runner, and a decision module with the design's ordinary path.

--- /dev/null
+++ b/starlingwheel/__init__.py
@@ -0,0 +1,1 @@
+"""starlingwheel: a sidecar balancer for service-to-service calls."""
--- /dev/null
+++ b/starlingwheel/decisions/rules.py
@@ -0,0 +1,441 @@
+"""All decisions of one sidecar: which upstream a work item goes to, when again, and when it is given up.
+
+A host makes one `Balancer` and calls `listed`, `settle`, `probed` and `heard` with what it learns; a `Runner`
+steps the generators that `work` and `chores` return. The interface stands in terms.py.
+
+The design: `work` hands off to a server drawn by `_draw` (weight one over one plus load) and, where a repeat
+does no harm, hands a copy to the next one once `_delay` has passed; the first to finish wins.
+
+Beside it: 1 set-aside (failures in a row, doubling trickle), 2 cold budget, 3 fit (no piling up, deferral),
+4 near first (crossings priced), 5 observed pace, 6 counts told among sidecars.
+"""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections import deque
+from math import inf
+
+from .terms import (
+    GONE,
+    Cancel,
+    Category,
+    Condition,
+    Defer,
+    Effect,
+    Fate,
+    Group,
+    HandOff,
+    Listing,
+    News,
+    Outcome,
+    Send,
+    Started,
+    Steps,
+    Subscribe,
+    Tell,
+    Terms,
+    Wait,
+    WorkItem,
+    WriteOff,
+)
+
+HIGH = 0.95  # the percentile of healthy answers after which a copy goes out
+LEARNED = 100  # answers before the percentile is believed
+UNLEARNED = 4.0  # times the due time: the delay until then
+GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
+FIT = 0.6  # share of the due time that the expected answer may take, for the best payoff
+LESS = 0.25  # power of the payoff by which the others get less of it
+IN_A_ROW = 2  # failures in a row that set an upstream aside
+TRUSTED = 16  # hand-offs at a time at which the trickle ends
+SILENT = 3.0  # times the expected answer after which a silent upstream counts as failing
+CAREFUL = 0.6  # share of the cold budget that is used
+SAID_AGO = 5.0  # tellings missed before a peer's counts are dropped
+
+
+class Histogram:
+    """Counts in a few coarse bins, each `growth` times the last, halved when they grow old."""
+
+    __slots__ = ("base", "growth", "bins", "total", "most")
+
+    def __init__(self, base: float, growth: float, bins: int, most: int) -> None:
+        self.base, self.growth, self.most = base, growth, most
+        self.bins = [0.0] * bins
+        self.total = 0.0
+
+    def add(self, value: float) -> None:
+        i, edge = 0, self.base
+        while value > edge and i < len(self.bins) - 1:
+            i, edge = i + 1, edge * self.growth
+        self.bins[i] += 1
+        self.total += 1
+        if self.total > self.most:
+            self.bins = [n / 2 for n in self.bins]
+            self.total /= 2
+
+    def mean(self) -> float:
+        middle = self.base / self.growth**0.5
+        return sum(n * middle * self.growth**i for i, n in enumerate(self.bins)) / self.total
+
+    def percentile(self, share: float) -> float:
+        left, edge = share * self.total, self.base
+        for n in self.bins:
+            if n >= left > 0:
+                return edge / self.growth ** (1 - left / n)
+            left -= n
+            edge *= self.growth
+        return edge
+
+
+class Upstream:
+    """What this sidecar knows of one upstream."""
+
+    def __init__(self, listing: Listing, now: float) -> None:
+        self.address = listing.address
+        self.tag = zlib.crc32(listing.address.encode()) & 0xFFFF
+        self.started: float | None = None
+        self.pending: dict[HandOff, None] = {}
+        self.pace = Histogram(0.25, 2.0, 7, 24)
+        self.report: tuple[float, float] | None = None
+        self.told: dict[int, int] = {}
+        self.failures = 0
+        self.pause = 0.0
+        self.aside_until = -inf
+        self.trickle = inf
+        self.answered = now
+        self.sends: deque[float] = deque()
+        self.update(listing)
+
+    def update(self, listing: Listing) -> None:
+        self.listing = listing
+        if listing.started != self.started:
+            # Guards against trusting what was learned of the process before the restart.
+            self.started = listing.started
+            self.pace = Histogram(0.25, 2.0, 7, 24)
+            self.failures, self.pause, self.aside_until, self.trickle = 0, 0.0, -inf, inf
+
+    @property
+    def slowness(self) -> float:
+        """Its times against those of its like; two answers' weight of doubt."""
+        seen = self.pace.total
+        return (2 + (self.pace.mean() * seen if seen else 0.0)) / (2 + seen)
+
+
+class Balancer:
+    def __init__(self, terms: Terms, chance: random.Random, now: float) -> None:
+        self.terms, self.chance, self.now = terms, chance, now
+        self.upstreams: dict[str, Upstream] = {}
+        self.ready: list[Upstream] = []
+        self.shortest = min(c.due_time for c in terms.categories)
+        self.best_payoff = max(c.payoff for c in terms.categories)
+        self.latency = Histogram(self.shortest / 32, 1.4, 20, 2000)
+        self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
+        self.patience = {c: 0.0 for c in terms.categories}
+        self.mean_size = 1.0
+        self.mean_load = 0.0
+        self.mean_elsewhere = 0.0
+        self.last_told: dict[int, float] = {}
+        self.news: News | None = None
+
+    # The ordinary path.
+
+    def work(self, wi: WorkItem) -> Steps:
+        due, stake = self._prospect(wi)
+        until = wi.arrived + min(due * GIVE_UP if wi.category.late_payoff == 0 else wi.patience, wi.patience)
+        handed: list[HandOff] = []
+        copies = 0
+        wanted = True
+        while True:
+            if wanted:
+                upstream = self._draw(wi, handed, due, stake)
+                wanted = False
+                if upstream is not None:
+                    ho = yield Send(upstream, until - self.now, self._load(upstream))
+                    upstream.pending[ho] = None
+                    upstream.sends.append(self.now)
+                    handed.append(ho)
+                elif not any(h.pending for h in handed):
+                    break
+            copy_at = (
+                handed[-1].sent + self._delay(wi) if copies < 1 and self._repeatable(wi, handed) else inf
+            )
+            event = yield Wait(min(copy_at, until))
+            if event is GONE:
+                yield from self._drop(handed)
+                return
+            if isinstance(event, Started):
+                yield from self._drop([h for h in handed if h is not event.ho])
+                while event.ho.pending:
+                    yield Wait(None)
+                return
+            if event is None:
+                if self.now >= until:
+                    break
+                if self.now >= copy_at:
+                    copies += 1
+                    wanted = not self._crowded()
+                continue
+            if event.answered:
+                yield from self._drop(handed)
+                return
+            wanted = not any(h.pending for h in handed) and self._may_send(wi, handed)
+            if not wanted and not any(h.pending for h in handed):
+                break
+        yield from self._drop(handed)
+        if self._may_defer(wi, handed):
+            yield Defer(min(self.terms.longest_come_back, self._relief(wi)))
+        else:
+            yield WriteOff()
+
+    def _drop(self, handed: list[HandOff]) -> Steps:
+        for ho in handed:
+            if ho.pending and self.terms.cancel_allowed:
+                yield Cancel(ho)
+
+    def _prospect(self, wi: WorkItem) -> tuple[float, float]:
+        """How long an answer is worth something, and how much."""
+        cat = wi.category
+        due = cat.due_time + cat.stretch * wi.cost
+        stake = cat.payoff / self.best_payoff
+        if not wi.repeat:
+            self.patience[cat] = max(self.patience[cat], wi.patience)
+        elif wi.patience < self.patience[cat] * GIVE_UP:
+            # Guards against work for a client whose earlier tries have used up the due time: a try cut short
+            # by the expiry tells how long ago the first one came.
+            due -= cat.expiry - wi.patience
+        if due <= 0:
+            due, stake = wi.patience, stake * cat.late_payoff
+        return due, stake
+
+    def _delay(self, wi: WorkItem) -> float:
+        if self.latency.total < LEARNED:
+            return UNLEARNED * wi.category.due_time
+        return self.latency.percentile(HIGH)
+
+    def _crowded(self) -> bool:
+        """No copies while all are slow or full: there is no spare room to absorb them."""
+        return self.mean_load > 2.0
+
+    # Rule 2.
+
+    def _may_send(self, wi: WorkItem, handed: list[HandOff]) -> bool:
+        if len(handed) >= self.terms.most_hand_offs:
+            return False
+        if wi.category.effect is Effect.RERUNNABLE:
+            return True
+        risky = next((h for h in handed if h.may_have_run), None)
+        if risky is None:
+            return True
+        return wi.category.effect is Effect.TICKETED and self.now < risky.sent + wi.category.memory * GIVE_UP
+
+    def _repeatable(self, wi: WorkItem, handed: list[HandOff]) -> bool:
+        if wi.category.effect is Effect.EXCLUSIVE or not self.terms.copies_allowed or not handed:
+            return False
+        return handed[-1].pending and self._may_send(wi, handed)
+
+    def _may_defer(self, wi: WorkItem, handed: list[HandOff]) -> bool:
+        if wi.category.effect is Effect.RERUNNABLE or not any(h.may_have_run for h in handed):
+            return True
+        return wi.category.effect is Effect.TICKETED and wi.category.group is Group.ALL
+
+    # The plan.
+
+    def _draw(self, wi: WorkItem, handed: list[HandOff], due: float, stake: float) -> Upstream | None:
+        used = {h.upstream for h in handed}
+        risky = next((h.upstream.listing for h in handed if h.may_have_run), None)
+        kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
+        left = (due - (self.now - wi.arrived)) * FIT * stake**LESS
+        choice: list[tuple[Upstream, float, float]] = []
+        for u in self.ready:
+            if u in used:
+                continue
+            if kind is Group.ZONE and u.listing.zone != risky.zone:
+                continue
+            if kind is Group.CELL and u.listing.cell != risky.cell:
+                continue
+            if not self._trusted(u, wi) or not self._within_cold_budget(u):
+                continue
+            load = self._load(u)
+            relative = u.slowness * self.mean_size / max(u.listing.size, 1e-9)
+            expected = self._typical(wi.category) * relative * (1 + load)
+            if load >= 1 and expected > left:
+                continue
+            choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
+        near_enough = due * self.terms.crossing_price**0.5
+        near = [c for c in choice if c[0].listing.zone == self.terms.zone and c[2] <= near_enough]
+        choice = near or choice
+        if not choice:
+            return None
+        return self.chance.choices([c[0] for c in choice], [c[1] for c in choice])[0]
+
+    def _typical(self, category: Category) -> float:
+        seen = self.typical[category]
+        prior = self.shortest / 8
+        return (4 * prior + (seen.mean() * seen.total if seen.total else 0.0)) / (4 + seen.total)
+
+    def _load(self, u: Upstream) -> float:
+        return self._elsewhere(u) + len(u.pending)
+
+    def _elsewhere(self, u: Upstream) -> float:
+        """The last report, pulled to the mean as it ages; with peers' counts, those."""
+        if self.last_told:
+            return float(sum(u.told.values()))
+        if u.report is None:
+            return self.mean_elsewhere
+        value, at = u.report
+        return self.mean_elsewhere + (value - self.mean_elsewhere) * 0.5 ** ((self.now - at) / self.shortest)
+
+    def _relief(self, wi: WorkItem) -> float:
+        return wi.category.due_time / 4
+
+    # Health: failures in a row set an upstream aside; a trickle that doubles brings it back.
+
+    def _trusted(self, u: Upstream, wi: WorkItem) -> bool:
+        if self.now < u.aside_until:
+            return False
+        if u.pending:
+            # Guards against upstreams that take work and answer nothing: no outcome ever tells of them.
+            oldest = next(iter(u.pending))
+            silence = self.now - max(oldest.sent, u.answered)
+            if silence > SILENT * self._typical(oldest.wi.category) * (1 + oldest.load) + self.shortest / 4:
+                return False
+        if u.trickle < inf:
+            return len(u.pending) < u.trickle and wi.category.effect is not Effect.EXCLUSIVE
+        return True
+
+    def _fail(self, u: Upstream) -> None:
+        u.failures += 1
+        if u.failures >= IN_A_ROW or u.trickle < inf:
+            longest = 8 * self.shortest
+            u.pause = min(longest, 2 * u.pause) if u.trickle < inf else self.shortest
+            u.aside_until = self.now + u.pause
+            u.trickle = 1
+
+    def settle(self, outcome: Outcome) -> None:
+        ho, u = outcome.ho, outcome.ho.upstream
+        u.pending.pop(ho, None)
+        for figure in ("held", "waiting", "busy"):
+            if figure in outcome.report:
+                u.report = (outcome.report[figure], self.now)
+                break
+        match outcome.fate:
+            case Fate.FINISHED:
+                self._learn(ho, outcome.took)
+                u.answered, u.failures = self.now, 0
+                if u.trickle < inf:
+                    u.trickle = u.trickle * 2 if u.trickle < TRUSTED else inf
+            case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
+                self._fail(u)
+            case Fate.CANCELLED | Fate.OVERDUE:
+                silent = self.now - max(ho.sent, u.answered)
+                if silent > SILENT * self._typical(ho.wi.category) * (1 + ho.load):
+                    self._fail(u)
+
+    def _learn(self, ho: HandOff, took: float) -> None:
+        u, cat = ho.upstream, ho.wi.category
+        relative = self.mean_size / max(u.listing.size, 1e-9)
+        each = took / ((1 + ho.load) * relative)
+        u.pace.add(each / self._typical(cat))
+        self.typical[cat].add(each)
+        self.latency.add(took)
+
+    # Cold upstreams.
+
+    def _warmth(self, u: Upstream) -> float:
+        """The least share of its capacity that an upstream has by now."""
+        if u.started is None or self.now >= u.started + self.terms.cold_for:
+            return 1.0
+        age = max(0.0, self.now - u.started) / self.terms.cold_for
+        return self.terms.cold_share + (1 - self.terms.cold_share) * age
+
+    def _within_cold_budget(self, u: Upstream) -> bool:
+        warmth = self._warmth(u)
+        while u.sends and u.sends[0] < self.now - 4 * self.terms.fall_span:
+            u.sends.popleft()
+        if warmth >= 1:
+            return True
+        each = (
+            max(self._typical(c) for c in self.terms.categories) * self.mean_size / max(u.listing.size, 1e-9)
+        )
+        rate = CAREFUL * self.terms.fall_multiple * warmth / each / self.terms.sidecars
+        span = max(self.terms.fall_span, 1 / rate)
+        recent = sum(1 for at in u.sends if at > self.now - span)
+        return recent + 1 <= rate * span + 1e-9
+
+    # The list, reports and peers.
+
+    def listed(self, news: News, listings: list[Listing]) -> None:
+        self.news = news
+        if news is News.FAILED:
+            return
+        if news is News.WHOLE:
+            named = {entry.address for entry in listings}
+            for address in [a for a in self.upstreams if a not in named]:
+                del self.upstreams[address]
+        for entry in listings:
+            if entry.condition is Condition.GONE:
+                self.upstreams.pop(entry.address, None)
+            elif known := self.upstreams.get(entry.address):
+                known.update(entry)
+            else:
+                self.upstreams[entry.address] = Upstream(entry, self.now)
+        every = sorted(self.upstreams.values(), key=lambda u: u.address)
+        self.ready = [u for u in every if u.listing.condition is Condition.READY]
+        self.mean_size = sum(u.listing.size for u in every) / len(every) if every else 1.0
+
+    def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
+        pass
+
+    def heard(self, peer: int, body: bytes) -> None:
+        self.last_told[peer] = self.now
+        counts = {int.from_bytes(body[i : i + 2], "big"): body[i + 2] for i in range(0, len(body) - 2, 3)}
+        for u in self.upstreams.values():
+            u.told[peer] = counts.get(u.tag, 0)
+
+    # Standing chores.
+
+    def chores(self) -> list[Steps]:
+        chores = [self._watch_load()]
+        if self.terms.must_subscribe:
+            chores.append(self._follow_list())
+        if self.terms.peers_allowed and self.terms.sidecars > 1:
+            chores.append(self._tell_peers())
+        return chores
+
+    def _follow_list(self) -> Steps:
+        patience = self.terms.ask_within / 32
+        yield Wait(self.now + self.chance.random() * patience)
+        while True:
+            self.news = None
+            yield Subscribe()
+            while self.news is not News.FAILED:
+                if self.news is not None:
+                    patience = self.terms.ask_within / 32
+                yield Wait(self.now + self.terms.ask_within / 32)
+            yield Wait(self.now + patience * (0.5 + self.chance.random()))
+            patience = min(2 * patience, self.terms.ask_within / 4)
+
+    def _tell_peers(self) -> Steps:
+        every = self.shortest / 16
+        yield Wait(self.now + self.chance.random() * every)
+        while True:
+            body = b"".join(
+                u.tag.to_bytes(2, "big") + bytes([min(len(u.pending), 255)]) for u in self.ready if u.pending
+            )
+            yield Tell(body[:255])
+            for peer in [p for p, at in self.last_told.items() if at < self.now - SAID_AGO * every]:
+                # Guards against counting for ever what a killed or cut-off sidecar last had out.
+                del self.last_told[peer]
+                for u in self.ready:
+                    u.told.pop(peer, None)
+            yield Wait(self.now + every)
+
+    def _watch_load(self) -> Steps:
+        while True:
+            # Guards against a mean that feeds on itself: only what was reported counts, not what was assumed.
+            values = [u.report[0] for u in self.ready if u.report is not None]
+            self.mean_elsewhere = sum(values) / len(values) if values else 0.0
+            loads = [self._load(u) for u in self.ready]
+            self.mean_load = sum(loads) / len(loads) if loads else 0.0
+            yield Wait(self.now + self.shortest / 16)
--- /dev/null
+++ b/starlingwheel/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""Puts the simulator's wire before the decisions."""
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,47 @@
+"""Stories of upstreams that fail."""
+
+from conftest import BUY
+
+from starlingwheel.decisions.terms import Fate
+
+
+def fail(host, name, times=2):
+    u = host.runner.balancer.upstreams[name]
+    while times:
+        for ho in [host.of(host.take())[0] for _ in range(4)]:
+            bad = ho.upstream is u and times
+            host.end(ho, Fate.ERROR if bad else Fate.FINISHED)
+            times -= bool(bad)
+    for ho in [ho for ho in host.sent if ho.pending]:
+        host.end(ho)
+    return u
+
+
+def test_errors_in_a_row_set_an_upstream_aside(host):
+    u = fail(host, "u0")
+    before = len(host.sent)
+    host.serve(8)
+    assert u not in {ho.upstream for ho in host.sent[before:]}
+
+
+def test_an_upstream_set_aside_comes_back_by_a_trickle_without_exclusive_work(host):
+    u = fail(host, "u0")
+    host.later(1.5)
+    host.serve(40, took=0.01, category=BUY)
+    assert u not in {ho.upstream for ho in host.sent[-40:]}
+    host.serve(60)
+    assert u.trickle > 16
+
+
+def test_an_upstream_that_answers_nothing_is_left_alone(host):
+    host.serve(40)
+    u = host.runner.balancer.upstreams["u0"]
+    hung = []
+    for _ in range(40):
+        ho = host.of(host.take())[0]
+        host.later(0.1)
+        if ho.upstream is u:
+            hung.append(ho)
+        else:
+            host.end(ho)
+    assert 0 < len(hung) < 6
--- /dev/null
+++ b/tests/test_simhost.py
@@ -0,0 +1,68 @@
+"""Stories of the simulator's wire."""
+
+import io
+import sys
+
+import pytest
+
+from starlingwheel.simhost import __main__ as simhost
+
+FACTS = (
+    '{"categories": [{"name": "look", "effect": "free", "dueTime": 1000000, "expiry": 2000000}],'
+    ' "rules": {"mustAskIn": 8000000}, "caps": {"mostHandOffs": 2}, "unheardOf": 1}'
+)
+START = [
+    "SYNC simTime=5000000 turn=1",
+    "CONTEXT sidecar=sidecar/0",
+    f"CONFIGURE entropy=7 facts={FACTS}",
+    "SHEET bank=0 entries=1",
+    "UPSTREAM upstream=10.0.0.1:80 condition=2",
+    "ANNOUNCE bank=0 scope=1 version=1",
+]
+QUERY = "QUERY job=9 profile=look patienceLeft=900000"
+
+
+def play(monkeypatch, lines):
+    monkeypatch.setattr(sys, "stdin", io.StringIO("\n".join(lines) + "\n"))
+    return simhost.main()
+
+
+def test_a_work_item_goes_out_and_its_answer_closes_it(monkeypatch, capsys):
+    ended = "ENDED job=9 hop=0 duration=1000 code=OK upstream=10.0.0.1:80 doneFlag=1"
+    late = "CANCELLED_BY_CLIENT job=9"
+    more = ["GO", "SYNC simTime=5001000 turn=2", "CONTEXT sidecar=sidecar/0", ended, late, "GO"]
+    assert play(monkeypatch, [*START, QUERY, *more]) == 0
+    out = capsys.readouterr().out.splitlines()
+    assert "ROUTE job=9 upstream=10.0.0.1:80 cap=900000" in out
+    assert [line for line in out if line.startswith("END ")] == ["END turn=1", "END turn=2"]
+
+
+def test_a_killed_instance_starts_empty_within_the_same_batch(monkeypatch, capsys):
+    assert play(monkeypatch, [*START, QUERY, "DETACH", *START[2:], "GO"]) == 0
+    assert "job=9" not in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("line", "named"),
+    [
+        ("QUERY job=9 profile=look", "patienceLeft"),
+        ("QUERY job=nine profile=look patienceLeft=1", "job"),
+        ("QUERY job=9 profile=other patienceLeft=1", "profile"),
+        ("CONFIGURE entropy=7 facts={", "facts"),
+        ("ANNOUNCE bank=3 scope=1 version=1", "bank"),
+        ("QUERY job", "QUERY"),
+        ("MUMBLE", "MUMBLE"),
+    ],
+)
+def test_what_can_not_be_read_is_named_and_ends_the_process(monkeypatch, capsys, line, named):
+    assert play(monkeypatch, [*START, line, "GO"]) != 0
+    seen = capsys.readouterr()
+    assert seen.out == "" and seen.err.count("\n") == 1
+    assert "line 7" in seen.err and named in seen.err
+
+
+def test_an_exception_in_the_decisions_is_told_as_a_fault(monkeypatch, capsys):
+    monkeypatch.setattr("starlingwheel.decisions.rules.Balancer._draw", lambda *_: 1 / 0)
+    assert play(monkeypatch, [*START, QUERY, "GO"]) != 0
+    seen = capsys.readouterr()
+    assert seen.out.startswith("DIE message=ZeroDivisionError") and "Traceback" in seen.err
