--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -90,6 +90,7 @@
     probing_allowed: bool = False
     peers_allowed: bool = False
     longest_come_back: float = 0.0
+    keep_idle: float = 0.0
     customers: list[Customer] = []
 
 
--- a/starlingwheel/simhost/wire.py
+++ b/starlingwheel/simhost/wire.py
@@ -143,6 +143,7 @@
         "cancel_allowed": caps.get("cancel", False),
         "probing_allowed": caps.get("probing", False),
         "peers_allowed": caps.get("peers", False),
+        "keep_idle": _span(caps, "keepalive"),
         "longest_come_back": _span(caps, "maxRetryAfter") if caps.get("retryAfter") else 0.0,
     }
     return msgspec.convert(ours, Terms)
