--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -45,7 +45,7 @@
 LEARNED = 100  # answers before the percentile is believed
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
-FIT = 0.6  # share of the due time that the expected answer may take, for the best payoff
+FIT = 0.28  # share of the due time that the expected answer may take, for the best payoff
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = (
     0.01  # as many failures in a row as are rarer than this, at the fleet's rate, set an upstream aside
