--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -45,7 +45,8 @@
 LEARNED = 100  # answers before the percentile is believed
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
-FIT = 0.28  # share of the due time that the expected answer may take, for the best payoff
+FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
+LINE = 3.0  # work items at an upstream of mean size past which more would only wait, or make it choke
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = (
     0.01  # as many failures in a row as are rarer than this, at the fleet's rate, set an upstream aside
@@ -266,7 +267,8 @@
             load = self._load(u)
             relative = u.slowness * self.mean_size / max(u.listing.size, 1e-9)
             expected = self._typical(wi.category) * relative * (1 + load)
-            if load >= 1 and expected > left:
+            line = LINE * max(1.0, u.listing.size / self.mean_size)
+            if load >= 1 and (expected > left or load >= line):
                 continue
             choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
         near_enough = due * self.terms.crossing_price**0.5
