No copy of a work item that later ones passed at its server

Cause: with several slots a server, what is late is mostly heavy, and its copy as heavy. An answer to something sent later to the same server tells the two apart; servers with one slot are not touched by it.

--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -41,7 +41,7 @@
     WriteOff,
 )
 
-HIGH = 0.99  # the percentile of healthy answers after which a copy goes out
+HIGH = 0.95  # the percentile of healthy answers after which a copy goes out
 LEARNED = 100  # answers before the percentile is believed
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
@@ -107,6 +107,7 @@
         self.aside_until = -inf
         self.trickle = inf
         self.answered = now
+        self.passed = -inf
         self.sends: deque[float] = deque()
         self.unreached = False
         self.spare: list[float] = []
@@ -150,7 +151,7 @@
         due, stake = self._prospect(wi)
         until = wi.arrived + min(due * GIVE_UP if wi.category.late_payoff == 0 else wi.patience, wi.patience)
         handed: list[HandOff] = []
-        copies = 0
+        copies, delays = 0, 1
         wanted = True
         while True:
             if wanted:
@@ -166,7 +167,9 @@
                 elif not any(h.pending for h in handed):
                     break
             copy_at = (
-                handed[-1].sent + self._delay(wi) if copies < 1 and self._repeatable(wi, handed) else inf
+                handed[-1].sent + delays * self._delay(wi)
+                if copies < 1 and self._repeatable(wi, handed)
+                else inf
             )
             event = yield Wait(min(copy_at, until))
             if event is GONE:
@@ -181,8 +184,9 @@
                 if self.now >= until:
                     break
                 if self.now >= copy_at:
-                    copies += 1
-                    wanted = not self._crowded()
+                    # Guards against copies of what is merely heavy: later ones passed it at its server.
+                    wanted = handed[-1].upstream.passed < handed[-1].sent and not self._crowded()
+                    copies, delays = copies + wanted, delays + 1
                 continue
             if event.answered:
                 yield from self._drop(handed)
@@ -352,7 +356,7 @@
         match outcome.fate:
             case Fate.FINISHED:
                 self._learn(ho, outcome.took)
-                u.answered = self.now
+                u.answered, u.passed = self.now, max(u.passed, ho.sent)
                 self._note(u, bad=False)
             case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
                 self._note(u, bad=True)
