--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -15,7 +15,7 @@
 import random
 import zlib
 from collections import deque
-from math import inf
+from math import inf, log
 
 from .terms import (
     GONE,
@@ -135,7 +135,7 @@
         self.ready: list[Upstream] = []
         self.shortest = min(c.due_time for c in terms.categories)
         self.best_payoff = max(c.payoff for c in terms.categories)
-        self.latency = Histogram(self.shortest / 32, 1.4, 20, 2000)
+        self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
         self.patience = {c: 0.0 for c in terms.categories}
         self.mean_size = 1.0
@@ -223,7 +223,7 @@
     def _delay(self, wi: WorkItem) -> float:
         if self.latency.total < LEARNED:
             return UNLEARNED * wi.category.due_time
-        return self.latency.percentile(HIGH)
+        return self.latency.percentile(HIGH) * self._typical(wi.category)
 
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
@@ -275,7 +275,7 @@
             if load >= 1 and (expected > left or load >= line):
                 continue
             choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
-        near_enough = due * self.terms.crossing_price**0.5
+        near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
         near = [c for c in choice if c[0].listing.zone == self.terms.zone and c[2] <= near_enough]
         choice = near or choice
         if not choice:
@@ -371,7 +371,7 @@
         each = took / ((1 + ho.load) * relative)
         u.pace.add(each / self._typical(cat))
         self.typical[cat].add(each)
-        self.latency.add(took)
+        self.latency.add(took / self._typical(cat))
 
     # Cold upstreams.
 
