--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -71,6 +71,8 @@
         if fate is Fate.FINISHED:
             self.ended.append(("finished", ho.wi, 0.0))
         self.runner.outcome(Outcome(ho, fate, self.runner.now - ho.sent, answered, report or {}))
+        for other in [other for other in self.cancelled if other.pending]:
+            self.end(other, Fate.CANCELLED)
 
     def of(self, wi):
         return [ho for ho in self.sent if ho.wi is wi]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -27,7 +27,6 @@
     assert first.upstream is not copy.upstream
     host.end(copy)
     assert host.cancelled == [first] and host.answers(wi) == ["finished"]
-    host.end(first, Fate.CANCELLED)
     host.later(5.0)
     assert len(host.of(wi)) == 2
 
