--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -54,6 +54,7 @@
 TRUSTED = 4  # hand-offs at a time at which the trickle ends
 SILENT = 3.0  # times the expected answer after which a silent upstream counts as failing
 CAREFUL = 0.6  # share of the cold budget that is used
+STALE = 4.0  # shortest due times by which what was seen counts half
 SAID_AGO = 5.0  # tellings missed before a peer's counts are dropped
 
 
@@ -74,8 +75,11 @@
         self.bins[i] += 1
         self.total += 1
         if self.total > self.most:
-            self.bins = [n / 2 for n in self.bins]
-            self.total /= 2
+            self.halve()
+
+    def halve(self) -> None:
+        self.bins = [n / 2 for n in self.bins]
+        self.total /= 2
 
     def mean(self) -> float:
         middle = self.base / self.growth**0.5
@@ -144,6 +148,7 @@
         self.last_told: dict[int, float] = {}
         self.news: News | None = None
         self.bad, self.outcomes = 0.0, 1.0
+        self.out = 0
 
     # The ordinary path.
 
@@ -160,6 +165,7 @@
                 if upstream is not None:
                     ho = yield Send(upstream, until - self.now, self._load(upstream))
                     upstream.pending[ho] = None
+                    self.out += 1
                     upstream.sends.append(self.now)
                     if upstream.spare:
                         upstream.spare.pop()
@@ -272,7 +278,9 @@
             relative = u.slowness * self.mean_size / max(u.listing.size, 1e-9)
             expected = self._typical(wi.category) * relative * (1 + load)
             line = LINE * max(1.0, u.listing.size / self.mean_size)
-            if load >= 1 and (expected > left or load >= line):
+            # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
+            # what it has once nothing of its own is out.
+            if load >= 1 and (expected > left or load >= line) and self.out:
                 continue
             choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
         near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
@@ -346,6 +354,7 @@
     def settle(self, outcome: Outcome) -> None:
         ho, u = outcome.ho, outcome.ho.upstream
         u.pending.pop(ho, None)
+        self.out -= 1
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             u.spare.append(self.now)
         u.unreached = outcome.fate is Fate.UNREACHED or (u.unreached and outcome.fate is Fate.FINISHED)
@@ -465,10 +474,21 @@
             yield Wait(self.now + every)
 
     def _watch_load(self) -> Steps:
+        halved = self.now
         while True:
-            # Guards against a mean that feeds on itself: only what was reported counts, not what was assumed.
-            values = [u.report[0] for u in self.ready if u.report is not None]
-            self.mean_elsewhere = sum(values) / len(values) if values else 0.0
+            # Guards against a mean that feeds on itself: only what was reported counts, and less with age.
+            told = [
+                (u.report[0], 0.5 ** ((self.now - u.report[1]) / STALE / self.shortest))
+                for u in self.ready
+                if u.report is not None
+            ]
+            self.mean_elsewhere = sum(v * w for v, w in told) / (0.5 + sum(w for _, w in told))
             loads = [self._load(u) for u in self.ready]
             self.mean_load = sum(loads) / len(loads) if loads else 0.0
+            if self.now > halved + 2 * STALE * self.shortest:
+                halved = self.now
+                for u in self.ready:
+                    u.pace.halve()
+                for seen in self.typical.values():
+                    seen.halve()
             yield Wait(self.now + self.shortest / 16)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -46,3 +46,12 @@
         else:
             host.end(ho)
     assert 0 < len(hung) < 6
+
+
+def test_a_sidecar_that_saw_only_full_upstreams_tries_again(host):
+    for _ in range(8):
+        for ho in host.of(host.take()):
+            host.later(0.1)
+            host.end(ho, report={"held": 50.0})
+    host.later(0.5)
+    assert host.of(host.take()) and host.answers(host.take()) == ["deferred"]
