--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -46,7 +46,7 @@
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
-LINE = 3.0  # work items at an upstream of mean size past which more would only wait, or make it choke
+LINE = 4.0  # work items at an upstream of mean size past which more would only wait, or make it choke
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = (
     0.01  # as many failures in a row as are rarer than this, at the fleet's rate, set an upstream aside
@@ -104,6 +104,7 @@
         self.started: float | None = None
         self.pending: dict[HandOff, None] = {}
         self.pace = Histogram(0.25, 2.0, 7, 24)
+        self.stay = Histogram(1 / 64, 2.0, 9, 16)
         self.report: tuple[float, float] | None = None
         self.told: dict[int, int] = {}
         self.failures = 0
@@ -358,10 +359,7 @@
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             u.spare.append(self.now)
         u.unreached = outcome.fate is Fate.UNREACHED or (u.unreached and outcome.fate is Fate.FINISHED)
-        for figure in ("held", "waiting", "busy"):
-            if figure in outcome.report:
-                u.report = (outcome.report[figure], self.now)
-                break
+        self._read_report(u, outcome.report)
         match outcome.fate:
             case Fate.FINISHED:
                 self._learn(ho, outcome.took)
@@ -374,10 +372,23 @@
                 if silent > SILENT * self._typical(ho.wi.category) * (1 + ho.load):
                     self._note(u, bad=True)
 
+    def _read_report(self, u: Upstream, report: dict[str, float]) -> None:
+        if "held" in report:
+            load = report["held"]
+        elif "waiting" in report:
+            # What is in work hides behind an empty queue: as much as is finished while one stays there.
+            load = report["waiting"] + report.get("finished", 0.0) * (u.stay.mean() if u.stay.total else 0.0)
+        elif "busy" in report:
+            load = report["busy"]
+        else:
+            return
+        u.report = (max(0.0, load - len(u.pending)), self.now)
+
     def _learn(self, ho: HandOff, took: float) -> None:
         u, cat = ho.upstream, ho.wi.category
         relative = self.mean_size / max(u.listing.size, 1e-9)
         each = took / ((1 + ho.load) * relative)
+        u.stay.add(took)
         u.pace.add(each / self._typical(cat))
         self.typical[cat].add(each)
         self.latency.add(took / self._typical(cat))
