--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -46,7 +46,7 @@
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
-LINE = 4.0  # work items at an upstream of mean size past which more would only wait, or make it choke
+LINE = 3.0  # work items at an upstream of mean size past which more would only wait, or make it choke
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = (
     0.01  # as many failures in a row as are rarer than this, at the fleet's rate, set an upstream aside
@@ -281,7 +281,7 @@
             line = LINE * max(1.0, u.listing.size / self.mean_size)
             # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
             # what it has once nothing of its own is out.
-            if load >= 1 and (expected > left or load >= line) and self.out:
+            if load >= 1 and (expected > left or len(u.pending) >= line) and self.out:
                 continue
             choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
         near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
