--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -104,7 +104,6 @@
         self.started: float | None = None
         self.pending: dict[HandOff, None] = {}
         self.pace = Histogram(0.25, 2.0, 7, 24)
-        self.stay = Histogram(1 / 64, 2.0, 9, 16)
         self.report: tuple[float, float] | None = None
         self.told: dict[int, int] = {}
         self.failures = 0
@@ -281,7 +280,7 @@
             line = LINE * max(1.0, u.listing.size / self.mean_size)
             # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
             # what it has once nothing of its own is out.
-            if load >= 1 and (expected > left or len(u.pending) >= line) and self.out:
+            if load >= 1 and (expected > left or load >= line) and self.out:
                 continue
             choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
         near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
@@ -359,7 +358,10 @@
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             u.spare.append(self.now)
         u.unreached = outcome.fate is Fate.UNREACHED or (u.unreached and outcome.fate is Fate.FINISHED)
-        self._read_report(u, outcome.report)
+        for figure in ("held", "waiting", "busy"):
+            if figure in outcome.report:
+                u.report = (outcome.report[figure], self.now)
+                break
         match outcome.fate:
             case Fate.FINISHED:
                 self._learn(ho, outcome.took)
@@ -372,23 +374,10 @@
                 if silent > SILENT * self._typical(ho.wi.category) * (1 + ho.load):
                     self._note(u, bad=True)
 
-    def _read_report(self, u: Upstream, report: dict[str, float]) -> None:
-        if "held" in report:
-            load = report["held"]
-        elif "waiting" in report:
-            # What is in work hides behind an empty queue: as much as is finished while one stays there.
-            load = report["waiting"] + report.get("finished", 0.0) * (u.stay.mean() if u.stay.total else 0.0)
-        elif "busy" in report:
-            load = report["busy"]
-        else:
-            return
-        u.report = (max(0.0, load - len(u.pending)), self.now)
-
     def _learn(self, ho: HandOff, took: float) -> None:
         u, cat = ho.upstream, ho.wi.category
         relative = self.mean_size / max(u.listing.size, 1e-9)
         each = took / ((1 + ho.load) * relative)
-        u.stay.add(took)
         u.pace.add(each / self._typical(cat))
         self.typical[cat].add(each)
         self.latency.add(took / self._typical(cat))
--- a/starlingwheel/simhost/wire.py
+++ b/starlingwheel/simhost/wire.py
@@ -30,7 +30,7 @@
 }
 NEWS = {"0": News.CHANGES, "1": News.WHOLE, "2": News.WHOLE, "3": News.FAILED}
 CONDITIONS = {"0": Condition.GONE, "1": Condition.DRAINING, "2": Condition.READY}
-REPORTED = {"busy_reqs": "held", "pending": "waiting", "cpu_share": "busy", "served_ps": "finished"}
+REPORTED = {"busy_reqs": "held", "pending": "waiting", "cpu_share": "busy"}
 EFFECTS = {"free": "rerunnable", "guarded": "ticketed", "single_shot": "exclusive"}
 TEXT_FIELDS = ("facts", "message")
 
