--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -41,7 +41,7 @@
     WriteOff,
 )
 
-HIGH = 0.95  # the percentile of healthy answers after which a copy goes out
+HIGH = 0.98  # the percentile of healthy answers after which a copy goes out
 LEARNED = 100  # answers before the percentile is believed
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
