--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -148,6 +148,7 @@
         self.last_told: dict[int, float] = {}
         self.news: News | None = None
         self.bad, self.outcomes = 0.0, 1.0
+        self.out = 0
 
     # The ordinary path.
 
@@ -164,6 +165,7 @@
                 if upstream is not None:
                     ho = yield Send(upstream, until - self.now, self._load(upstream))
                     upstream.pending[ho] = None
+                    self.out += 1
                     upstream.sends.append(self.now)
                     if upstream.spare:
                         upstream.spare.pop()
@@ -276,10 +278,9 @@
             relative = u.slowness * self.mean_size / max(u.listing.size, 1e-9)
             expected = self._typical(wi.category) * relative * (1 + load)
             line = LINE * max(1.0, u.listing.size / self.mean_size)
-            # Guards against a sidecar that hears of nothing because it refuses everything: only what is
-            # known of late speaks against an upstream, not the mean it is taken to stand at.
-            known = self._known(u)
-            if known >= 1 and (known >= line or expected * (1 + known) / (1 + load) > left):
+            # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
+            # what it has once nothing of its own is out.
+            if load >= 1 and (expected > left or load >= line) and self.out:
                 continue
             choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
         near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
@@ -301,17 +302,10 @@
         """The last report, pulled to the mean as it ages; with peers' counts, those."""
         if self.last_told:
             return float(sum(u.told.values()))
-        value, fresh = self._report(u)
-        return self.mean_elsewhere + (value - self.mean_elsewhere) * fresh
-
-    def _known(self, u: Upstream) -> float:
-        value, fresh = (float(sum(u.told.values())), 1.0) if self.last_told else self._report(u)
-        return value * fresh + len(u.pending)
-
-    def _report(self, u: Upstream) -> tuple[float, float]:
         if u.report is None:
-            return 0.0, 0.0
-        return u.report[0], 0.5 ** ((self.now - u.report[1]) / self.shortest)
+            return self.mean_elsewhere
+        value, at = u.report
+        return self.mean_elsewhere + (value - self.mean_elsewhere) * 0.5 ** ((self.now - at) / self.shortest)
 
     def _relief(self, wi: WorkItem) -> float:
         return wi.category.due_time / 4
@@ -360,6 +354,7 @@
     def settle(self, outcome: Outcome) -> None:
         ho, u = outcome.ho, outcome.ho.upstream
         u.pending.pop(ho, None)
+        self.out -= 1
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             u.spare.append(self.now)
         u.unreached = outcome.fate is Fate.UNREACHED or (u.unreached and outcome.fate is Fate.FINISHED)
