--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -48,9 +48,7 @@
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
 LINE = 3.0  # work items at an upstream of mean size past which more would only wait, or make it choke
 LESS = 0.25  # power of the payoff by which the others get less of it
-BY_CHANCE = (
-    0.01  # as many failures in a row as are rarer than this, at the fleet's rate, set an upstream aside
-)
+BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
 TRUSTED = 4  # hand-offs at a time at which the trickle ends
 SILENT = 3.0  # times the expected answer after which a silent upstream counts as failing
 CAREFUL = 0.6  # share of the cold budget that is used
@@ -197,9 +195,10 @@
             if event.answered:
                 yield from self._drop(handed)
                 return
-            wanted = not any(h.pending for h in handed) and self._may_send(wi, handed)
-            if not wanted and not any(h.pending for h in handed):
-                break
+            if not any(h.pending for h in handed):
+                wanted = self.now < until and self._may_send(wi, handed)
+                if not wanted:
+                    break
         yield from self._drop(handed)
         if self._may_defer(wi, handed):
             yield Defer(min(self.terms.longest_come_back, self._relief(wi)))
@@ -233,7 +232,7 @@
 
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
-        return self.mean_load > 2.0
+        return self.mean_load > LINE * 2 / 3
 
     # Rule 2.
 
@@ -446,17 +445,19 @@
         return chores
 
     def _follow_list(self) -> Steps:
-        patience = self.terms.ask_within / 32
-        yield Wait(self.now + self.chance.random() * patience)
+        often = max(self.terms.ask_within / 32, self.shortest / 4)
+        patience = often
+        yield Wait(self.now + self.chance.random() * often)
         while True:
             self.news = None
             yield Subscribe()
             while self.news is not News.FAILED:
                 if self.news is not None:
-                    patience = self.terms.ask_within / 32
-                yield Wait(self.now + self.terms.ask_within / 32)
+                    patience = often
+                yield Wait(self.now + often)
+            # Guards against all sidecars asking an overloaded list at once, again and again.
             yield Wait(self.now + patience * (0.5 + self.chance.random()))
-            patience = min(2 * patience, self.terms.ask_within / 4)
+            patience = min(2 * patience, 8 * often)
 
     def _tell_peers(self) -> Steps:
         every = self.shortest / 16
