--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -22,6 +22,7 @@
     Cancel,
     Category,
     Condition,
+    Customer,
     Defer,
     Effect,
     Fate,
@@ -52,6 +53,7 @@
 TRUSTED = 4  # hand-offs at a time at which the trickle ends
 SILENT = 3.0  # times the expected answer after which a silent upstream counts as failing
 CAREFUL = 0.6  # share of the cold budget that is used
+BEYOND = 1.5  # times the middle customer's use of its share past which a customer's is taken to be used up
 STALE = 4.0  # shortest due times by which what was seen counts half
 SAID_AGO = 5.0  # tellings missed before a peer's counts are dropped
 
@@ -140,6 +142,7 @@
         self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
         self.patience = {c: 0.0 for c in terms.categories}
+        self.asked = dict.fromkeys(terms.customers, 0.0)
         self.mean_size = 1.0
         self.mean_load = 0.0
         self.mean_elsewhere = 0.0
@@ -215,6 +218,10 @@
         cat = wi.category
         due = cat.due_time + cat.stretch * wi.cost
         stake = cat.payoff / self.best_payoff
+        if wi.customer is not None:
+            self.asked[wi.customer] += not wi.repeat
+            if self.chance.random() < self._excess(wi.customer):
+                stake *= self.terms.over_share_payoff
         if not wi.repeat:
             self.patience[cat] = max(self.patience[cat], wi.patience)
         elif wi.patience < self.patience[cat] * GIVE_UP:
@@ -225,6 +232,16 @@
             due, stake = wi.patience, stake * cat.late_payoff
         return due, stake
 
+    def _excess(self, customer: Customer) -> float:
+        """The part of a customer's work beyond its share, judged by our own traffic alone.
+
+        Guards against one customer's burst crowding out the others. What part of a share is ours to give is
+        not known; the use that the middle customer makes of its own tells it well enough.
+        """
+        uses = sorted(n / max(c.share, 1e-9) for c, n in self.asked.items())
+        fair = BEYOND * uses[(len(uses) - 1) // 2] * customer.share
+        return 1 - min(1.0, (fair + 2 * fair**0.5 + 1) / max(self.asked[customer], 1e-9))
+
     def _delay(self, wi: WorkItem) -> float:
         if self.latency.total < LEARNED:
             return UNLEARNED * wi.category.due_time
@@ -486,6 +503,8 @@
             self.mean_elsewhere = sum(v * w for v, w in told) / (0.5 + sum(w for _, w in told))
             loads = [self._load(u) for u in self.ready]
             self.mean_load = sum(loads) / len(loads) if loads else 0.0
+            for customer in self.asked:
+                self.asked[customer] *= 0.5 ** (1 / 16 / STALE)
             if self.now > halved + 2 * STALE * self.shortest:
                 halved = self.now
                 for u in self.ready:
