--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -217,11 +217,11 @@
         """How long an answer is worth something, and how much."""
         cat = wi.category
         due = cat.due_time + cat.stretch * wi.cost
-        stake = cat.payoff / self.best_payoff
+        stake = (cat.payoff / self.best_payoff) ** LESS
         if wi.customer is not None:
             self.asked[wi.customer] += not wi.repeat
             if self.chance.random() < self._excess(wi.customer):
-                stake *= self.terms.over_share_payoff
+                stake *= self.terms.over_share_payoff**0.5
         if not wi.repeat:
             self.patience[cat] = max(self.patience[cat], wi.patience)
         elif wi.patience < self.patience[cat] * GIVE_UP:
@@ -279,7 +279,7 @@
         used = {h.upstream for h in handed}
         risky = next((h.upstream.listing for h in handed if h.may_have_run), None)
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
-        left = (due - (self.now - wi.arrived)) * FIT * stake**LESS
+        left = (due - (self.now - wi.arrived)) * FIT * stake
         choice: list[tuple[Upstream, float, float]] = []
         for u in self.ready:
             if u in used:
