--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -48,6 +48,7 @@
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
 LINE = 3.0  # work items at an upstream of mean size past which more would only wait, or make it choke
+NEAR = 3.0  # times its share of the worth that a late answer is taken to cost against a crossing
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
 TRUSTED = 4  # hand-offs at a time at which the trickle ends
@@ -299,7 +300,7 @@
             if load >= 1 and (expected > left or load >= line) and self.out:
                 continue
             choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
-        near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
+        near_enough = due / -log(min(max(self.terms.crossing_price / NEAR, 1e-9), 0.5))
         near = [c for c in choice if c[0].listing.zone == self.terms.zone and c[2] <= near_enough]
         choice = near or choice
         if not choice:
