--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -42,7 +42,9 @@
     WriteOff,
 )
 
-HIGH = 0.98  # the percentile of healthy answers after which a copy goes out
+HIGH = 0.98  # the percentile of healthy answers after which a copy goes out, with no room to spare
+LOW = 0.90  # the same with an idle fleet, if copies that served nothing cost little:
+COPY_COST = 0.004  # of the whole worth at most, taking each copy for wasted
 LEARNED = 100  # answers before the percentile is believed
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
@@ -246,7 +248,9 @@
     def _delay(self, wi: WorkItem) -> float:
         if self.latency.total < LEARNED:
             return UNLEARNED * wi.category.due_time
-        return self.latency.percentile(HIGH) * self._typical(wi.category)
+        low = max(LOW, min(HIGH, 1 - COPY_COST / max(self.terms.waste_price, 1e-9)))
+        busy = min(1.0, self.mean_load / (LINE * 2 / 3))
+        return self.latency.percentile(low + (HIGH - low) * busy) * self._typical(wi.category)
 
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
