--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -42,15 +42,12 @@
     WriteOff,
 )
 
-HIGH = 0.98  # the percentile of healthy answers after which a copy goes out, with no room to spare
-LOW = 0.90  # the same with an idle fleet, if copies that served nothing cost little:
-COPY_COST = 0.004  # of the whole worth at most, taking each copy for wasted
+HIGH = 0.98  # the percentile of healthy answers after which a copy goes out
 LEARNED = 100  # answers before the percentile is believed
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
 LINE = 3.0  # work items at an upstream of mean size past which more would only wait, or make it choke
-NEAR = 3.0  # times its share of the worth that a late answer is taken to cost against a crossing
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
 TRUSTED = 4  # hand-offs at a time at which the trickle ends
@@ -248,9 +245,7 @@
     def _delay(self, wi: WorkItem) -> float:
         if self.latency.total < LEARNED:
             return UNLEARNED * wi.category.due_time
-        low = max(LOW, min(HIGH, 1 - COPY_COST / max(self.terms.waste_price, 1e-9)))
-        busy = min(1.0, self.mean_load / (LINE * 2 / 3))
-        return self.latency.percentile(low + (HIGH - low) * busy) * self._typical(wi.category)
+        return self.latency.percentile(HIGH) * self._typical(wi.category)
 
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
@@ -304,7 +299,7 @@
             if load >= 1 and (expected > left or load >= line) and self.out:
                 continue
             choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
-        near_enough = due / -log(min(max(self.terms.crossing_price / NEAR, 1e-9), 0.5))
+        near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
         near = [c for c in choice if c[0].listing.zone == self.terms.zone and c[2] <= near_enough]
         choice = near or choice
         if not choice:
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -84,7 +84,6 @@
     fall_span: float
     most_hand_offs: int
     crossing_price: float
-    waste_price: float = 0.0
     over_share_payoff: float = 1.0
     copies_allowed: bool = True
     cancel_allowed: bool = True
--- a/starlingwheel/simhost/wire.py
+++ b/starlingwheel/simhost/wire.py
@@ -138,7 +138,6 @@
         "fall_span": _span(rules, "overloadFor"),
         "most_hand_offs": caps.get("mostHandOffs", 1),
         "crossing_price": charges.get("crossZone", 0.0),
-        "waste_price": charges.get("waste", 0.0),
         "over_share_payoff": given.get("overagePayoff", 1.0),
         "copies_allowed": caps.get("mayDuplicate", False),
         "cancel_allowed": caps.get("cancel", False),
