--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -293,7 +293,7 @@
             load = self._load(u)
             relative = u.slowness * self.mean_size / max(u.listing.size, 1e-9)
             expected = self._typical(wi.category) * relative * (1 + load)
-            line = LINE * max(1.0, u.listing.size / self.mean_size)
+            line = LINE * max(1.0, u.listing.size / self.mean_size) ** 0.5
             # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
             # what it has once nothing of its own is out.
             if load >= 1 and (expected > left or load >= line) and self.out:
