--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -55,3 +55,33 @@
             host.end(ho, report={"held": 50.0})
     host.later(0.5)
     assert host.of(host.take()) and host.answers(host.take()) == ["deferred"]
+
+
+def test_a_fault_common_to_all_sets_nobody_aside(host):
+    for i in range(60):
+        ho = host.of(host.take(BUY))[0]
+        host.later(0.05)
+        host.end(ho, Fate.ERROR if i % 5 else Fate.FINISHED)
+    host.serve(40)
+    assert len({ho.upstream for ho in host.sent[-40:]}) == 4
+
+
+def test_an_upstream_that_refuses_connections_still_serves_over_open_ones(make_host):
+    host = make_host(upstreams=1, keep_idle=5.0)
+    host.serve(20)
+    over_open, refused = host.take(BUY), host.take(BUY)
+    host.end(host.of(refused)[0], Fate.UNREACHED)
+    host.end(host.of(over_open)[0])
+    after = host.take(BUY)
+    assert host.answers(refused) == ["deferred"] and host.of(after)
+    beyond = host.take(BUY)
+    assert host.answers(beyond) == ["deferred"] and not host.of(beyond)
+
+
+def test_a_slow_upstream_is_given_less(host):
+    slow = host.runner.balancer.upstreams["u0"]
+    for _ in range(120):
+        ho = host.of(host.take())[0]
+        host.later(0.25 if ho.upstream is slow else 0.05)
+        host.end(ho)
+    assert sum(ho.upstream is slow for ho in host.sent[-80:]) < 16
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -143,3 +143,36 @@
         host.serve(30)
         ways.append([ho.upstream.address for ho in host.sent])
     assert ways[0] == ways[1] and len(set(ways[0])) > 1
+
+
+def test_what_later_work_has_passed_is_heavy_and_gets_no_copy(make_host):
+    host = make_host(upstreams=2)
+    host.serve(110)
+    heavy = host.take()
+    where = host.of(heavy)[0].upstream
+    while host.runner.now < heavy.arrived + 0.9:
+        ho = host.of(host.take())[0]
+        host.later(0.05)
+        host.end(ho)
+        if ho.upstream is where:
+            break
+    host.later(0.5)
+    assert len(host.of(heavy)) == 1
+
+
+def test_a_bursting_customer_gives_way_and_the_others_do_not(host):
+    inn, pub = host.runner.balancer.terms.customers
+    for _ in range(10):
+        host.end(host.of(host.take(customer=pub))[0])
+    crowd = [host.take(BUY, customer=inn) for _ in range(100)]
+    calm = [host.take(BUY, customer=pub) for _ in range(2)]
+    assert any(host.answers(wi) for wi in crowd)
+    excess = host.runner.balancer._excess
+    assert excess(inn) > 0.5 and excess(pub) == 0.0 and len(calm) == 2
+
+
+def test_a_clients_late_try_is_worth_nothing_and_gives_way(host):
+    host.take(patience=2.5)
+    busy = [host.take(BUY) for _ in range(4)]
+    late = host.take(patience=1.5, repeat=True)
+    assert all(host.of(wi) for wi in busy) and host.answers(late) == ["deferred"]
