--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -276,6 +276,9 @@
     # The plan.
 
     def _draw(self, wi: WorkItem, handed: list[HandOff], due: float, stake: float) -> Upstream | None:
+        if stake == 0 and self._crowded():
+            # Guards against work that is worth nothing taking the room of work that is.
+            return None
         used = {h.upstream for h in handed}
         risky = next((h.upstream.listing for h in handed if h.may_have_run), None)
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
