--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -142,7 +142,6 @@
         self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
         self.patience = {c: 0.0 for c in terms.categories}
-        self.given_up = {c: (0.0, 1.0) for c in terms.categories}
         self.asked = dict.fromkeys(terms.customers, 0.0)
         self.mean_size = 1.0
         self.mean_load = 0.0
@@ -204,7 +203,6 @@
                 if not wanted:
                     break
         yield from self._drop(handed)
-        self._unserved(wi, late=self.now >= until)
         if self._may_defer(wi, handed):
             yield Defer(min(self.terms.longest_come_back, self._relief(wi)))
         else:
@@ -230,19 +228,10 @@
             # Guards against work for a client whose earlier tries have used up the due time: a try cut short
             # by the expiry tells how long ago the first one came.
             due -= cat.expiry - wi.patience
-        elif wi.repeat:
-            late, ended = self.given_up[cat]
-            stake *= 1 - late / ended
         if due <= 0:
             due, stake = wi.patience, stake * cat.late_payoff
         return due, stake
 
-    def _unserved(self, wi: WorkItem, late: bool) -> None:
-        """What a repeat is worth that does not tell when its first try came: as often as not served in vain."""
-        late_ones, ended = self.given_up[wi.category]
-        scale = 0.5 if ended > LEARNED else 1.0
-        self.given_up[wi.category] = ((late_ones + late) * scale, (ended + 1) * scale)
-
     def _excess(self, customer: Customer) -> float:
         """The part of a customer's work beyond its share, judged by our own traffic alone.
 
