--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -6,8 +6,8 @@
 The design: `work` hands off to a server drawn by `_draw` (weight one over one plus load) and, where a repeat
 does no harm, hands a copy to the next one once `_delay` has passed; the first to finish wins.
 
-Beside it: 1 set-aside (failures in a row, doubling trickle), 2 cold budget, 3 fit (no piling up, deferral),
-4 near first (crossings priced), 5 observed pace, 6 counts told among sidecars.
+Beside it: 1 set-aside (failures in a row, doubling trickle, open connections go on), 2 cold budget, 3 fit (no
+piling up; least worth deferred first), 4 near first (crossings priced), 5 observed pace, 6 peers' counts.
 """
 
 from __future__ import annotations
@@ -124,6 +124,7 @@
             self.started = listing.started
             self.pace = Histogram(0.25, 2.0, 7, 24)
             self.failures, self.pause, self.aside_until, self.trickle = 0, 0.0, -inf, inf
+            self.unreached, self.spare = False, []
 
     @property
     def slowness(self) -> float:
@@ -173,11 +174,8 @@
                     handed.append(ho)
                 elif not any(h.pending for h in handed):
                     break
-            copy_at = (
-                handed[-1].sent + delays * self._delay(wi)
-                if copies < 1 and self._repeatable(wi, handed)
-                else inf
-            )
+            may_copy = copies < 1 and self._repeatable(wi, handed)
+            copy_at = handed[-1].sent + delays * self._delay(wi) if may_copy else inf
             event = yield Wait(min(copy_at, until))
             if event is GONE:
                 yield from self._drop(handed)
@@ -482,11 +480,16 @@
     def _tell_peers(self) -> Steps:
         every = self.shortest / 16
         yield Wait(self.now + self.chance.random() * every)
+        last, kept = b"", 0
         while True:
             body = b"".join(
                 u.tag.to_bytes(2, "big") + bytes([min(len(u.pending), 255)]) for u in self.ready if u.pending
             )
-            yield Tell(body[:255])
+            # The same again says only that we live, which every few times is enough.
+            kept = kept + 1 if body == last else 0
+            if kept % 3 == 0:
+                yield Tell(body[: 256 // 3 * 3])
+            last = body
             for peer in [p for p, at in self.last_told.items() if at < self.now - SAID_AGO * every]:
                 # Guards against counting for ever what a killed or cut-off sidecar last had out.
                 del self.last_told[peer]
