--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -176,3 +176,21 @@
     busy = [host.take(BUY) for _ in range(4)]
     late = host.take(patience=1.5, repeat=True)
     assert all(host.of(wi) for wi in busy) and host.answers(late) == ["deferred"]
+
+
+def test_a_started_stream_is_the_clients_and_has_no_due_time(host):
+    wi = host.take()
+    host.runner.started(host.of(wi)[0])
+    host.later(5.0)
+    assert host.answers(wi) == [] and not host.cancelled
+    host.end(host.of(wi)[0])
+    assert host.answers(wi) == ["finished"]
+
+
+def test_with_full_lines_the_least_payoff_is_deferred_first(host):
+    host.serve(40, took=0.2)
+    served = {BUY: 0, LOOK: 0}
+    for _ in range(12):
+        for category in served:
+            served[category] += bool(host.of(host.take(category)))
+    assert served[BUY] > served[LOOK]
