--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -103,28 +103,27 @@
         self.tag = zlib.crc32(listing.address.encode()) & 0xFFFF
         self.started: float | None = None
         self.pending: dict[HandOff, None] = {}
-        self.pace = Histogram(0.25, 2.0, 7, 24)
         self.report: tuple[float, float] | None = None
         self.told: dict[int, int] = {}
-        self.failures = 0
-        self.pause = 0.0
-        self.aside_until = -inf
-        self.trickle = inf
         self.answered = now
         self.passed = -inf
         self.sends: deque[float] = deque()
+        self.forget()
+        self.update(listing)
+
+    def forget(self) -> None:
+        """Nothing is known yet of the process that runs there."""
+        self.pace = Histogram(0.25, 2.0, 7, 24)
+        self.failures, self.pause, self.aside_until, self.trickle = 0, 0.0, -inf, inf
         self.unreached = False
         self.spare: list[float] = []
-        self.update(listing)
 
     def update(self, listing: Listing) -> None:
         self.listing = listing
         if listing.started != self.started:
             # Guards against trusting what was learned of the process before the restart.
             self.started = listing.started
-            self.pace = Histogram(0.25, 2.0, 7, 24)
-            self.failures, self.pause, self.aside_until, self.trickle = 0, 0.0, -inf, inf
-            self.unreached, self.spare = False, []
+            self.forget()
 
     @property
     def slowness(self) -> float:
@@ -281,6 +280,7 @@
         risky = next((h.upstream.listing for h in handed if h.may_have_run), None)
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
         left = (due - (self.now - wi.arrived)) * FIT * stake
+        typical = self._typical(wi.category)
         choice: list[tuple[Upstream, float, float]] = []
         for u in self.ready:
             if u in used:
@@ -292,8 +292,8 @@
             if not self._trusted(u, wi) or not self._within_cold_budget(u):
                 continue
             load = self._load(u)
-            relative = u.slowness * self.mean_size / max(u.listing.size, 1e-9)
-            expected = self._typical(wi.category) * relative * (1 + load)
+            relative = u.slowness * self._small(u)
+            expected = typical * relative * (1 + load)
             line = LINE * max(1.0, u.listing.size / self.mean_size) ** 0.5
             # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
             # what it has once nothing of its own is out.
@@ -312,6 +312,10 @@
         prior = self.shortest / 8
         return (4 * prior + (seen.mean() * seen.total if seen.total else 0.0)) / (4 + seen.total)
 
+    def _small(self, u: Upstream) -> float:
+        """How many of it make one of mean size."""
+        return self.mean_size / max(u.listing.size, 1e-9)
+
     def _load(self, u: Upstream) -> float:
         return self._elsewhere(u) + len(u.pending)
 
@@ -340,13 +344,17 @@
         if u.pending:
             # Guards against upstreams that take work and answer nothing: no outcome ever tells of them.
             oldest = next(iter(u.pending))
-            silence = self.now - max(oldest.sent, u.answered)
-            if silence > SILENT * self._typical(oldest.wi.category) * (1 + oldest.load) + self.shortest / 4:
+            if self._silence(oldest) > self.shortest / 4:
                 return False
         if u.trickle < inf:
             return len(u.pending) < u.trickle and wi.category.effect is not Effect.EXCLUSIVE
         return True
 
+    def _silence(self, ho: HandOff) -> float:
+        """How much longer its upstream has answered nothing than it should have taken."""
+        expected = self._typical(ho.wi.category) * (1 + ho.load)
+        return self.now - max(ho.sent, ho.upstream.answered) - SILENT * expected
+
     def _note(self, u: Upstream, bad: bool) -> None:
         self.bad, self.outcomes = self.bad + bad, self.outcomes + 1
         if self.outcomes > 8 * max(len(self.ready), 1):
@@ -387,14 +395,12 @@
             case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
                 self._note(u, bad=True)
             case Fate.CANCELLED | Fate.OVERDUE:
-                silent = self.now - max(ho.sent, u.answered)
-                if silent > SILENT * self._typical(ho.wi.category) * (1 + ho.load):
+                if self._silence(ho) > 0:
                     self._note(u, bad=True)
 
     def _learn(self, ho: HandOff, took: float) -> None:
         u, cat = ho.upstream, ho.wi.category
-        relative = self.mean_size / max(u.listing.size, 1e-9)
-        each = took / ((1 + ho.load) * relative)
+        each = took / ((1 + ho.load) * self._small(u))
         u.pace.add(each / self._typical(cat))
         self.typical[cat].add(each)
         self.latency.add(took / self._typical(cat))
@@ -414,9 +420,7 @@
             u.sends.popleft()
         if warmth >= 1:
             return True
-        each = (
-            max(self._typical(c) for c in self.terms.categories) * self.mean_size / max(u.listing.size, 1e-9)
-        )
+        each = max(self._typical(c) for c in self.terms.categories) * self._small(u)
         rate = CAREFUL * self.terms.fall_multiple * warmth / each / self.terms.sidecars
         span = max(self.terms.fall_span, 1 / rate)
         recent = sum(1 for at in u.sends if at > self.now - span)
@@ -444,7 +448,7 @@
         self.mean_size = sum(u.listing.size for u in every) / len(every) if every else 1.0
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
-        pass
+        """No probes are sent, so there is nothing to learn from one."""
 
     def heard(self, peer: int, body: bytes) -> None:
         self.last_told[peer] = self.now
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -66,7 +66,6 @@
 
 class Customer(msgspec.Struct, frozen=True, eq=False):
     name: str
-    allowance: float
     share: float
 
 
@@ -87,7 +86,6 @@
     over_share_payoff: float = 1.0
     copies_allowed: bool = True
     cancel_allowed: bool = True
-    probing_allowed: bool = False
     peers_allowed: bool = False
     longest_come_back: float = 0.0
     keep_idle: float = 0.0
--- a/starlingwheel/simhost/host.py
+++ b/starlingwheel/simhost/host.py
@@ -59,8 +59,9 @@
             repeat=line.read("isRetry", flag, False),
             cost=line.seconds("cost", 0.0),
         )
-        job = self._jobs[line.read("job", int)] = self._job_of[wi] = Job(line.read("job", int), wi)
-        self.runner.take(job.wi)
+        job = Job(line.read("job", int), wi)
+        self._jobs[job.number] = self._job_of[wi] = job
+        self.runner.take(wi)
 
     def _hand_off(self, line: Line) -> HandOff | None:
         """The hand-off a line speaks of; None when its work item is long settled."""
--- a/starlingwheel/simhost/wire.py
+++ b/starlingwheel/simhost/wire.py
@@ -141,7 +141,6 @@
         "over_share_payoff": given.get("overagePayoff", 1.0),
         "copies_allowed": caps.get("mayDuplicate", False),
         "cancel_allowed": caps.get("cancel", False),
-        "probing_allowed": caps.get("probing", False),
         "peers_allowed": caps.get("peers", False),
         "keep_idle": _span(caps, "keepalive"),
         "longest_come_back": _span(caps, "maxRetryAfter") if caps.get("retryAfter") else 0.0,
@@ -184,6 +183,5 @@
         raise msgspec.ValidationError("a tenant is not an object")
     return {
         "name": given.get("name"),
-        "allowance": given.get("allowancePerS", 0.0),
         "share": given.get("share", 0.0),
     }
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,7 +40,7 @@
             "most_hand_offs": 3,
             "crossing_price": 0.0,
             "longest_come_back": 2.0,
-            "customers": [Customer("inn", 10.0, 0.5), Customer("pub", 10.0, 0.5)],
+            "customers": [Customer("inn", 0.5), Customer("pub", 0.5)],
         }
         self.sent, self.ended, self.cancelled, self.told, self.probes = [], [], [], [], []
         self.subscribed, self.alarms = 0, []
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -8,7 +8,7 @@
 def fail(host, name, times=2):
     host.serve(40)
     u = host.runner.balancer.upstreams[name]
-    while times:
+    while times and u.aside_until <= host.runner.now:
         for ho in [host.of(host.take())[0] for _ in range(4)]:
             bad = ho.upstream is u and times
             host.end(ho, Fate.ERROR if bad else Fate.FINISHED)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -160,15 +160,18 @@
     assert len(host.of(heavy)) == 1
 
 
-def test_a_bursting_customer_gives_way_and_the_others_do_not(host):
+def test_a_bursting_customer_gives_way_and_the_others_do_not(make_host):
+    host = make_host(over_share_payoff=0.01)
     inn, pub = host.runner.balancer.terms.customers
-    for _ in range(10):
-        host.end(host.of(host.take(customer=pub))[0])
-    crowd = [host.take(BUY, customer=inn) for _ in range(100)]
-    calm = [host.take(BUY, customer=pub) for _ in range(2)]
-    assert any(host.answers(wi) for wi in crowd)
+    for customer in [pub] * 10 + [inn] * 100:
+        host.end(host.of(host.take(customer=customer))[0])
+    crowd = [host.take(BUY, customer=inn)]
+    while host.of(crowd[-1]):
+        crowd.append(host.take(BUY, customer=inn))
+    calm = host.take(BUY, customer=pub)
     excess = host.runner.balancer._excess
-    assert excess(inn) > 0.5 and excess(pub) == 0.0 and len(calm) == 2
+    assert any(host.answers(wi) for wi in crowd)
+    assert excess(inn) > 0.5 and excess(pub) == 0.0 and host.of(calm)
 
 
 def test_a_clients_late_try_is_worth_nothing_and_gives_way(host):
