Work per event no longer grows with the fleet; load is asked for where that is cheaper

Figures are aged when read, a draw looks at 12 upstreams a zone side, changes alone are told, and where telling costs more than asking the first two of a plan are probed.

--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -7,18 +7,23 @@
 does no harm, hands a copy to the next one once `_delay` has passed; the first to finish wins.
 
 Beside it: 1 set-aside (failures in a row, doubling trickle, open connections go on), 2 cold budget, 3 fit (no
-piling up; least worth deferred first), 4 near first (crossings priced), 5 observed pace, 6 peers' counts.
+piling up; least worth deferred first), 4 near first (crossings priced), 5 observed pace, 6 others' load (told
+by peers, or asked for before a hand-off, whichever the settings price lower).
+
+What one event costs depends neither on the size of the fleet nor on the number of sidecars, and what is not
+needed is not kept fresh: figures are aged when they are read.
 """
 
 from __future__ import annotations
 
 import random
 import zlib
-from collections import deque
+from collections.abc import Sequence
 from math import inf, log
 
 from .terms import (
     GONE,
+    Asked,
     Cancel,
     Category,
     Condition,
@@ -31,6 +36,7 @@
     Listing,
     News,
     Outcome,
+    Probe,
     Send,
     Started,
     Steps,
@@ -55,18 +61,21 @@
 CAREFUL = 0.6  # share of the cold budget that is used
 BEYOND = 1.5  # times the middle customer's use of its share past which a customer's is taken to be used up
 STALE = 4.0  # shortest due times by which what was seen counts half
-SAID_AGO = 5.0  # tellings missed before a peer's counts are dropped
+LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
+GAIN = 0.1  # share of a mean payoff that knowing the load may save
+COUNT = 3  # bytes that a peer's count takes
 
 
 class Histogram:
     """Counts in a few coarse bins, each `growth` times the last, halved when they grow old."""
 
-    __slots__ = ("base", "growth", "bins", "total", "most")
+    __slots__ = ("base", "growth", "bins", "total", "most", "halved")
 
     def __init__(self, base: float, growth: float, bins: int, most: int) -> None:
         self.base, self.growth, self.most = base, growth, most
         self.bins = [0.0] * bins
         self.total = 0.0
+        self.halved = 0.0
 
     def add(self, value: float) -> None:
         i, edge = 0, self.base
@@ -77,9 +86,17 @@
         if self.total > self.most:
             self.halve()
 
-    def halve(self) -> None:
-        self.bins = [n / 2 for n in self.bins]
-        self.total /= 2
+    def halve(self, times: int = 1) -> None:
+        self.bins = [n / 2**times for n in self.bins]
+        self.total /= 2**times
+
+    def aged(self, now: float, span: float) -> Histogram:
+        """Halved as often as `span` has passed since it was last read."""
+        if times := int((now - self.halved) / span):
+            self.halved += times * span
+            if self.total:
+                self.halve(min(times, 64))
+        return self
 
     def mean(self) -> float:
         middle = self.base / self.growth**0.5
@@ -104,50 +121,50 @@
         self.started: float | None = None
         self.pending: dict[HandOff, None] = {}
         self.report: tuple[float, float] | None = None
-        self.told: dict[int, int] = {}
         self.answered = now
         self.passed = -inf
-        self.sends: deque[float] = deque()
-        self.forget()
-        self.update(listing)
+        self.forget(now)
+        self.update(listing, now)
 
-    def forget(self) -> None:
+    def forget(self, now: float) -> None:
         """Nothing is known yet of the process that runs there."""
-        self.pace = Histogram(0.25, 2.0, 7, 24)
+        self.pace: Histogram | None = None
+        self.sends: list[float] = []
+        self.turn: float = now
+        self.phase: float | None = None
         self.failures, self.pause, self.aside_until, self.trickle = 0, 0.0, -inf, inf
         self.unreached = False
         self.spare: list[float] = []
 
-    def update(self, listing: Listing) -> None:
+    def update(self, listing: Listing, now: float) -> None:
         self.listing = listing
         if listing.started != self.started:
             # Guards against trusting what was learned of the process before the restart.
             self.started = listing.started
-            self.forget()
-
-    @property
-    def slowness(self) -> float:
-        """Its times against those of its like; two answers' weight of doubt."""
-        seen = self.pace.total
-        return (2 + (self.pace.mean() * seen if seen else 0.0)) / (2 + seen)
+            self.forget(now)
 
 
 class Balancer:
     def __init__(self, terms: Terms, chance: random.Random, now: float) -> None:
         self.terms, self.chance, self.now = terms, chance, now
         self.upstreams: dict[str, Upstream] = {}
-        self.ready: list[Upstream] = []
+        self.stale_plan = True
+        self.near: list[Upstream] = []
+        self.far: list[Upstream] = []
         self.shortest = min(c.due_time for c in terms.categories)
         self.best_payoff = max(c.payoff for c in terms.categories)
         self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
         self.patience = {c: 0.0 for c in terms.categories}
         self.asked = dict.fromkeys(terms.customers, 0.0)
+        self.asked_until = now
         self.mean_size = 1.0
-        self.mean_load = 0.0
-        self.mean_elsewhere = 0.0
-        self.last_told: dict[int, float] = {}
-        self.news: News | None = None
+        self.reported, self.reports, self.reported_at = 0.0, 0.0, now
+        self.told: dict[int, tuple[float, dict[int, int]]] = {}
+        self.counted: dict[int, int] = {}
+        self.told_at = -inf
+        self.holding: dict[Upstream, None] = {}
+        self.tells, self.asks = self._cheapest()
         self.bad, self.outcomes = 0.0, 1.0
         self.out = 0
 
@@ -159,18 +176,27 @@
         handed: list[HandOff] = []
         copies, delays = 0, 1
         wanted = True
+        questions = self._questions(wi)
         while True:
             if wanted:
-                upstream = self._draw(wi, handed, due, stake)
+                if questions and not handed:
+                    upstream = yield from self._ask(wi, due, stake, questions)
+                    if upstream is GONE:
+                        return
+                else:
+                    upstream = self._draw(wi, handed, due, stake)
                 wanted = False
                 if upstream is not None:
                     ho = yield Send(upstream, until - self.now, self._load(upstream))
                     upstream.pending[ho] = None
+                    self.holding[upstream] = None
                     self.out += 1
-                    upstream.sends.append(self.now)
+                    if self._warmth(upstream) < 1:
+                        upstream.sends.append(self.now)
                     if upstream.spare:
                         upstream.spare.pop()
                     handed.append(ho)
+                    yield from self._tell()
                 elif not any(h.pending for h in handed):
                     break
             may_copy = copies < 1 and self._repeatable(wi, handed)
@@ -184,7 +210,7 @@
                 while event.ho.pending:
                     yield Wait(None)
                 return
-            if event is None:
+            if event is None or isinstance(event, Asked):
                 if self.now >= until:
                     break
                 if self.now >= copy_at:
@@ -192,6 +218,7 @@
                     wanted = handed[-1].upstream.passed < handed[-1].sent and not self._crowded()
                     copies, delays = copies + wanted, delays + 1
                 continue
+            yield from self._tell()
             if event.answered:
                 yield from self._drop(handed)
                 return
@@ -216,6 +243,9 @@
         due = cat.due_time + cat.stretch * wi.cost
         stake = (cat.payoff / self.best_payoff) ** LESS
         if wi.customer is not None:
+            aged = 0.5 ** ((self.now - self.asked_until) / STALE / self.shortest)
+            self.asked_until = self.now
+            self.asked = {customer: n * aged for customer, n in self.asked.items()}
             self.asked[wi.customer] += not wi.repeat
             if self.chance.random() < self._excess(wi.customer):
                 stake *= self.terms.over_share_payoff**0.5
@@ -246,7 +276,9 @@
 
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
-        return self.mean_load > LINE * 2 / 3
+        ready = len(self.near) + len(self.far)
+        elsewhere = sum(self.counted.values()) if self.told else self._mean_elsewhere() * ready
+        return elsewhere + self.out > LINE * 2 / 3 * ready
 
     # Rule 2.
 
@@ -272,43 +304,140 @@
 
     # The plan.
 
-    def _draw(self, wi: WorkItem, handed: list[HandOff], due: float, stake: float) -> Upstream | None:
+    def _draw(
+        self, wi: WorkItem, handed: list[HandOff], due: float, stake: float, but: Sequence[Upstream] = ()
+    ) -> Upstream | None:
         if stake == 0 and self._crowded():
             # Guards against work that is worth nothing taking the room of work that is.
             return None
-        used = {h.upstream for h in handed}
+        used = {*but, *(h.upstream for h in handed)}
         risky = next((h.upstream.listing for h in handed if h.may_have_run), None)
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
         left = (due - (self.now - wi.arrived)) * FIT * stake
         typical = self._typical(wi.category)
-        choice: list[tuple[Upstream, float, float]] = []
-        for u in self.ready:
-            if u in used:
-                continue
-            if kind is Group.ZONE and u.listing.zone != risky.zone:
-                continue
-            if kind is Group.CELL and u.listing.cell != risky.cell:
-                continue
-            if not self._trusted(u, wi) or not self._within_cold_budget(u):
-                continue
-            load = self._load(u)
-            relative = u.slowness * self._small(u)
-            expected = typical * relative * (1 + load)
-            line = LINE * max(1.0, u.listing.size / self.mean_size) ** 0.5
-            # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
-            # what it has once nothing of its own is out.
-            if load >= 1 and (expected > left or load >= line) and self.out:
-                continue
-            choice.append((u, self._warmth(u) / ((1 + load) * relative), expected))
         near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
-        near = [c for c in choice if c[0].listing.zone == self.terms.zone and c[2] <= near_enough]
-        choice = near or choice
+        self._plan_afresh()
+        self._forget_silent_peers()
+        choice: list[tuple[Upstream, float, float]] = []
+        for pool in (self.near, self.far):
+            if kind is Group.ZONE:
+                pool = [u for u in pool if u.listing.zone == risky.zone]
+            elif kind is Group.CELL:
+                pool = [u for u in pool if u.listing.cell == risky.cell]
+            looked = self.chance.sample(pool, LOOKS) if len(pool) > LOOKS else pool
+            for u in looked:
+                if u in used:
+                    continue
+                if not self._trusted(u, wi) or not self._within_cold_budget(u):
+                    continue
+                load = self._load(u)
+                relative = self._slowness(u) * self._small(u)
+                expected = typical * relative * (1 + load)
+                line = LINE * max(1.0, 1 / self._small(u)) ** 0.5
+                # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
+                # what it has once nothing of its own is out.
+                if load >= 1 and (expected > left or load >= line) and self.out:
+                    continue
+                weight = self._warmth(u) / ((1 + load) * relative) * len(pool) / len(looked)
+                choice.append((u, weight, expected))
+            if near := [c for c in choice if c[0].listing.zone == self.terms.zone and c[2] <= near_enough]:
+                choice = near
+                break
         if not choice:
             return None
         return self.chance.choices([c[0] for c in choice], [c[1] for c in choice])[0]
 
+    def _plan_afresh(self) -> None:
+        if self.stale_plan:
+            self.stale_plan = False
+            every = sorted(self.upstreams.values(), key=lambda u: u.address)
+            ready = [u for u in every if u.listing.condition is Condition.READY]
+            self.near = [u for u in ready if u.listing.zone == self.terms.zone]
+            self.far = [u for u in ready if u.listing.zone != self.terms.zone]
+            self.mean_size = sum(u.listing.size for u in every) / len(every) if every else 1.0
+
+    # What others have out: peers tell of it, or the upstreams are asked.
+
+    def _cheapest(self) -> tuple[bool, bool]:
+        """Whether peers tell each other of every hand-off, or the first two of a plan are asked."""
+        terms = self.terms
+        heard = 2 * COUNT * (terms.sidecars - 1) / 256 * terms.telling_price
+        tells = terms.peers_allowed and terms.sidecars > 1
+        tells = tells and (not terms.asking_allowed or heard <= 2 * terms.asking_price)
+        return tells, terms.asking_allowed and not tells
+
+    def _questions(self, wi: WorkItem) -> int:
+        """How many upstreams it pays to ask."""
+        if not self.asks:
+            return 0
+        mean = sum(c.payoff for c in self.terms.categories) / len(self.terms.categories)
+        return min(2, int(GAIN * wi.category.payoff / mean / max(self.terms.asking_price, 1e-9)))
+
+    def _ask(self, wi: WorkItem, due: float, stake: float, most: int) -> Steps:
+        """Ask the first few of the plan; the one that is free soonest gets the work item."""
+        asked: list[Upstream] = []
+        while len(asked) < most and (u := self._draw(wi, [], due, stake, asked)) is not None:
+            asked.append(u)
+            yield Probe(u)
+        until = self.now + self.shortest / 4
+        good: list[Upstream] = []
+        left = len(asked)
+        while left and self.now < until:
+            event = yield Wait(until)
+            if event is GONE:
+                return GONE
+            if isinstance(event, Asked):
+                left -= 1
+                if event.fate is Fate.FINISHED:
+                    good.append(event.upstream)
+                    until = min(until, self.now + self.shortest / 32)
+        # Guards against handing off to one that has left the list since it was asked.
+        good = [u for u in good if self._listed_ready(u)]
+        if not good:
+            return self._draw(wi, [], due, stake, asked)
+        best = min(good, key=lambda u: self._expected(u, wi))
+        fits = self._load(best) < LINE or self._expected(best, wi) < due * FIT * stake
+        return best if fits else None
+
+    def _listed_ready(self, u: Upstream) -> bool:
+        return self.upstreams.get(u.address) is u and u.listing.condition is Condition.READY
+
+    def _expected(self, u: Upstream, wi: WorkItem) -> float:
+        return self._typical(wi.category) * self._slowness(u) * self._small(u) * (1 + self._load(u))
+
+    def _tell(self) -> Steps:
+        """Tell the peers what we have out, after each change of it."""
+        if self.tells and self.now >= self.told_at + self.shortest / 64:
+            self.told_at = self.now
+            counts = [u.tag.to_bytes(2, "big") + bytes([min(len(u.pending), 255)]) for u in self.holding]
+            yield Tell(b"".join(counts)[: 256 // COUNT * COUNT])
+
+    def heard(self, peer: int, body: bytes) -> None:
+        if not 0 <= peer < self.terms.sidecars:
+            return
+        self._untell(peer)
+        counts: dict[int, int] = {}
+        for i in range(0, len(body) - COUNT + 1, COUNT):
+            tag = int.from_bytes(body[i : i + 2], "big")
+            counts[tag] = body[i + 2]
+            self.counted[tag] = self.counted.get(tag, 0) + body[i + 2]
+        self.told[peer] = (self.now, counts)
+
+    def _untell(self, peer: int) -> None:
+        if peer in self.told:
+            for tag, n in self.told.pop(peer)[1].items():
+                self.counted[tag] -= n
+
+    def _forget_silent_peers(self) -> None:
+        """Guards against counting for ever what a killed or cut-off sidecar last had out."""
+        while self.told:
+            peer, (at, _) = next(iter(self.told.items()))
+            if at > self.now - self.shortest:
+                return
+            self._untell(peer)
+
     def _typical(self, category: Category) -> float:
-        seen = self.typical[category]
+        seen = self.typical[category].aged(self.now, 2 * STALE * self.shortest)
         prior = self.shortest / 8
         return (4 * prior + (seen.mean() * seen.total if seen.total else 0.0)) / (4 + seen.total)
 
@@ -321,15 +450,37 @@
 
     def _elsewhere(self, u: Upstream) -> float:
         """The last report, pulled to the mean as it ages; with peers' counts, those."""
-        if self.last_told:
-            return float(sum(u.told.values()))
+        if self.told:
+            return float(self.counted.get(u.tag, 0))
+        mean = self._mean_elsewhere()
         if u.report is None:
-            return self.mean_elsewhere
+            return mean
         value, at = u.report
-        return self.mean_elsewhere + (value - self.mean_elsewhere) * 0.5 ** ((self.now - at) / self.shortest)
+        return mean + (value - mean) * 0.5 ** ((self.now - at) / self.shortest)
+
+    def _mean_elsewhere(self) -> float:
+        """Guards against a mean that feeds on itself: only what was reported counts, and less with age."""
+        aged = 0.5 ** ((self.now - self.reported_at) / STALE / self.shortest)
+        return self.reported * aged / (0.5 + self.reports * aged)
+
+    def _read(self, u: Upstream, report: dict[str, float]) -> None:
+        for figure in ("held", "waiting", "busy"):
+            if figure in report:
+                aged = 0.5 ** ((self.now - self.reported_at) / STALE / self.shortest)
+                self.reported = self.reported * aged + report[figure]
+                self.reports, self.reported_at = self.reports * aged + 1, self.now
+                u.report = (report[figure], self.now)
+                return
+
+    def _slowness(self, u: Upstream) -> float:
+        """Its times against those of its like; two answers' weight of doubt."""
+        if u.pace is None or not u.pace.aged(self.now, 2 * STALE * self.shortest).total:
+            return 1.0
+        return (2 + u.pace.mean() * u.pace.total) / (2 + u.pace.total)
 
     def _relief(self, wi: WorkItem) -> float:
-        return wi.category.due_time / 4
+        # Guards against clients deferred together coming back together.
+        return wi.category.due_time / 4 * (0.5 + self.chance.random())
 
     # Health: failures in a row set an upstream aside; a trickle that doubles brings it back.
 
@@ -357,7 +508,7 @@
 
     def _note(self, u: Upstream, bad: bool) -> None:
         self.bad, self.outcomes = self.bad + bad, self.outcomes + 1
-        if self.outcomes > 8 * max(len(self.ready), 1):
+        if self.outcomes > 8 * max(len(self.near) + len(self.far), 1):
             self.bad, self.outcomes = self.bad / 2, self.outcomes / 2
         if not bad:
             u.failures = 0
@@ -379,14 +530,13 @@
     def settle(self, outcome: Outcome) -> None:
         ho, u = outcome.ho, outcome.ho.upstream
         u.pending.pop(ho, None)
+        if not u.pending:
+            self.holding.pop(u, None)
         self.out -= 1
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             u.spare.append(self.now)
         u.unreached = outcome.fate is Fate.UNREACHED or (u.unreached and outcome.fate is Fate.FINISHED)
-        for figure in ("held", "waiting", "busy"):
-            if figure in outcome.report:
-                u.report = (outcome.report[figure], self.now)
-                break
+        self._read(u, outcome.report)
         match outcome.fate:
             case Fate.FINISHED:
                 self._learn(ho, outcome.took)
@@ -401,6 +551,9 @@
     def _learn(self, ho: HandOff, took: float) -> None:
         u, cat = ho.upstream, ho.wi.category
         each = took / ((1 + ho.load) * self._small(u))
+        if u.pace is None:
+            u.pace = Histogram(0.25, 2.0, 7, 24)
+            u.pace.halved = self.now
         u.pace.add(each / self._typical(cat))
         self.typical[cat].add(each)
         self.latency.add(took / self._typical(cat))
@@ -416,22 +569,26 @@
 
     def _within_cold_budget(self, u: Upstream) -> bool:
         warmth = self._warmth(u)
-        while u.sends and u.sends[0] < self.now - 4 * self.terms.fall_span:
-            u.sends.popleft()
         if warmth >= 1:
             return True
+        if u.phase is None:
+            u.phase = self.chance.random()
         each = max(self._typical(c) for c in self.terms.categories) * self._small(u)
         rate = CAREFUL * self.terms.fall_multiple * warmth / each / self.terms.sidecars
         span = max(self.terms.fall_span, 1 / rate)
+        # Guards against hundreds of sidecars that each send the first of their part at once: where a part is
+        # less than one hand-off a span, its turn comes at a time of its own.
+        if span > self.terms.fall_span and self.now < u.turn + u.phase * span:
+            return False
         recent = sum(1 for at in u.sends if at > self.now - span)
         return recent + 1 <= rate * span + 1e-9
 
-    # The list, reports and peers.
+    # The list and reports.
 
     def listed(self, news: News, listings: list[Listing]) -> None:
-        self.news = news
         if news is News.FAILED:
             return
+        self.stale_plan = True
         if news is News.WHOLE:
             named = {entry.address for entry in listings}
             for address in [a for a in self.upstreams if a not in named]:
@@ -440,85 +597,37 @@
             if entry.condition is Condition.GONE:
                 self.upstreams.pop(entry.address, None)
             elif known := self.upstreams.get(entry.address):
-                known.update(entry)
+                known.update(entry, self.now)
             else:
                 self.upstreams[entry.address] = Upstream(entry, self.now)
-        every = sorted(self.upstreams.values(), key=lambda u: u.address)
-        self.ready = [u for u in every if u.listing.condition is Condition.READY]
-        self.mean_size = sum(u.listing.size for u in every) / len(every) if every else 1.0
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
-        """No probes are sent, so there is nothing to learn from one."""
-
-    def heard(self, peer: int, body: bytes) -> None:
-        self.last_told[peer] = self.now
-        counts = {int.from_bytes(body[i : i + 2], "big"): body[i + 2] for i in range(0, len(body) - 2, 3)}
-        for u in self.upstreams.values():
-            u.told[peer] = counts.get(u.tag, 0)
+        u = self.upstreams.get(address)
+        if u is None:
+            return
+        self._read(u, report)
+        if fate is Fate.FINISHED:
+            u.answered = self.now
+        elif fate is not Fate.TURNED_DOWN:
+            self._note(u, bad=True)
 
     # Standing chores.
 
     def chores(self) -> list[Steps]:
-        chores = [self._watch_load()]
-        if self.terms.must_subscribe:
-            chores.append(self._follow_list())
-        if self.terms.peers_allowed and self.terms.sidecars > 1:
-            chores.append(self._tell_peers())
-        return chores
+        return [self._follow_list()] if self.terms.must_subscribe else []
 
     def _follow_list(self) -> Steps:
         often = max(self.terms.ask_within / 32, self.shortest / 4)
-        patience = often
-        yield Wait(self.now + self.chance.random() * often)
+        # Guards against all sidecars asking the list at once, at the start and after its outages: the more
+        # of them there are, the longer they spread their calls over.
+        spread = min(often * max(1.0, self.terms.sidecars / 16), max(often, self.terms.ask_within / 2))
+        patience = spread
+        until = self.now + self.chance.random() * spread
         while True:
-            self.news = None
+            while self.now < until:
+                yield Wait(until)
             yield Subscribe()
-            while self.news is not News.FAILED:
-                if self.news is not None:
-                    patience = often
-                yield Wait(self.now + often)
-            # Guards against all sidecars asking an overloaded list at once, again and again.
-            yield Wait(self.now + patience * (0.5 + self.chance.random()))
-            patience = min(2 * patience, 8 * often)
-
-    def _tell_peers(self) -> Steps:
-        every = self.shortest / 16
-        yield Wait(self.now + self.chance.random() * every)
-        last, kept = b"", 0
-        while True:
-            body = b"".join(
-                u.tag.to_bytes(2, "big") + bytes([min(len(u.pending), 255)]) for u in self.ready if u.pending
-            )
-            # The same again says only that we live, which every few times is enough.
-            kept = kept + 1 if body == last else 0
-            if kept % 3 == 0:
-                yield Tell(body[: 256 // 3 * 3])
-            last = body
-            for peer in [p for p, at in self.last_told.items() if at < self.now - SAID_AGO * every]:
-                # Guards against counting for ever what a killed or cut-off sidecar last had out.
-                del self.last_told[peer]
-                for u in self.ready:
-                    u.told.pop(peer, None)
-            yield Wait(self.now + every)
-
-    def _watch_load(self) -> Steps:
-        halved = self.now
-        while True:
-            # Guards against a mean that feeds on itself: only what was reported counts, and less with age.
-            told = [
-                (u.report[0], 0.5 ** ((self.now - u.report[1]) / STALE / self.shortest))
-                for u in self.ready
-                if u.report is not None
-            ]
-            self.mean_elsewhere = sum(v * w for v, w in told) / (0.5 + sum(w for _, w in told))
-            loads = [self._load(u) for u in self.ready]
-            self.mean_load = sum(loads) / len(loads) if loads else 0.0
-            for customer in self.asked:
-                self.asked[customer] *= 0.5 ** (1 / 16 / STALE)
-            if self.now > halved + 2 * STALE * self.shortest:
-                halved = self.now
-                for u in self.ready:
-                    u.pace.halve()
-                for seen in self.typical.values():
-                    seen.halve()
-            yield Wait(self.now + self.shortest / 16)
+            while (yield Wait(None)) is not News.FAILED:
+                patience = spread
+            until = self.now + patience * (0.5 + self.chance.random())
+            patience = min(2 * patience, max(8 * often, spread))
--- a/starlingwheel/decisions/runner.py
+++ b/starlingwheel/decisions/runner.py
@@ -13,6 +13,7 @@
 from .rules import Balancer
 from .terms import (
     GONE,
+    Asked,
     Cancel,
     Defer,
     Fate,
@@ -67,6 +68,8 @@
         self._count = 0
         self._armed: float | None = None
         self._due: deque[tuple[Task, Any]] = deque()
+        self._asking: dict[str, deque[tuple[Task, Any]]] = {}
+        self._follower: Task | None = None
 
     def start(self) -> None:
         """Begin the standing chores; the first list must have been given."""
@@ -117,9 +120,20 @@
 
     def listed(self, news: News, listings: list[Listing]) -> None:
         self.balancer.listed(news, listings)
+        if self._follower is not None:
+            self._due.append((self._follower, news))
+            self._run()
 
-    def probed(self, upstream: Any, fate: Fate, took: float, report: dict[str, float]) -> None:
-        self.balancer.probed(upstream, fate, took, report)
+    def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
+        self.balancer.probed(address, fate, took, report)
+        asking = self._asking.get(address)
+        if asking is None:
+            return
+        task, upstream = asking.popleft()
+        if not asking:
+            del self._asking[address]
+        self._due.append((task, Asked(upstream, fate)))
+        self._run()
 
     def heard(self, peer: int, body: bytes) -> None:
         self.balancer.heard(peer, body)
@@ -165,8 +179,10 @@
                 else:
                     self.door.write_off(task.wi)
             case Subscribe():
+                self._follower = task
                 self.door.subscribe()
             case Probe(upstream):
+                self._asking.setdefault(upstream.address, deque()).append((task, upstream))
                 self.door.probe(upstream)
             case Tell(body):
                 self.door.tell(body)
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -83,10 +83,13 @@
     fall_span: float
     most_hand_offs: int
     crossing_price: float
+    asking_price: float = 0.0
+    telling_price: float = 0.0
     over_share_payoff: float = 1.0
     copies_allowed: bool = True
     cancel_allowed: bool = True
     peers_allowed: bool = False
+    asking_allowed: bool = False
     longest_come_back: float = 0.0
     keep_idle: float = 0.0
     customers: list[Customer] = []
@@ -153,6 +156,14 @@
     ho: HandOff
 
 
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """An upstream has answered a probe, or failed to."""
+
+    upstream: Any
+    fate: Fate
+
+
 class Gone:
     """The client has left; nothing is owed any more."""
 
@@ -176,7 +187,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Wait:
-    """Resumed by an `Outcome`, `Started` or `GONE`, or by None when `until` has come (None: never)."""
+    """Resumed by an `Outcome`, `Started`, `Asked`, `GONE` or (a chore that subscribed) a `News`.
+
+    None when `until` has come (None: never).
+    """
 
     until: float | None
 
@@ -193,11 +207,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Subscribe:
-    """Ask for the changes of the list; the answer is a `News`."""
+    """Ask for the changes of the list; every `News` from then on resumes the asker's `Wait`."""
 
 
 @dataclass(slots=True, frozen=True)
 class Probe:
+    """Ask an upstream for its load; an `Asked` resumes the asker's `Wait`."""
+
     upstream: Any
 
 
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,118 @@
+"""Stories of many sidecars, many upstreams, and of word from elsewhere."""
+
+import pytest
+from conftest import BUY, LOOK
+
+from starlingwheel.decisions.terms import Condition, Fate, News
+
+ASKING = {"sidecars": 400, "asking_allowed": True, "asking_price": 0.01}
+
+
+def test_hundreds_of_sidecars_together_keep_the_part_of_a_cold_upstream(make_host):
+    sent = 0
+    for seed in range(100):
+        host = make_host(upstreams=1, seed=seed, sidecars=100)
+        host.later(50.0)
+        host.listed(News.CHANGES, "u0", started=50.0)
+        for _ in range(10):  # far more work than the upstream could do, at all of them in step
+            for ho in host.of(host.take()):
+                host.end(ho)
+            host.later(0.2)
+        sent += len(host.sent)
+    could_do = 2.0 * (0.25 + 0.25 * 0.75) / 0.12  # the warmest it can be, over the span of the rule
+    assert 0 < sent <= 2.0 * could_do
+
+
+def test_a_sidecar_without_work_does_next_to_nothing(make_host):
+    host = make_host(upstreams=300, sidecars=500, peers_allowed=True)
+    host.later(60.0)
+    assert host.subscribed == 1 and not host.told and not host.probes and not host.alarms
+
+
+def test_many_sidecars_do_not_ask_for_the_list_in_step(make_host):
+    hosts = [make_host(seed=seed, sidecars=500) for seed in range(20)]
+    for host in hosts:
+        host.later(0.5)
+    early = sum(host.subscribed for host in hosts)
+    for host in hosts:
+        host.later(7.5)
+    assert early < 8 and all(host.subscribed == 1 for host in hosts)
+
+
+def test_of_two_asked_the_one_with_less_to_do_gets_the_work(make_host):
+    host = make_host(**ASKING)
+    wi = host.take(BUY)
+    one, other = host.probes
+    assert not host.of(wi)
+    host.runner.probed(one.address, Fate.FINISHED, 0.01, {"held": 2.0})
+    host.runner.probed(other.address, Fate.FINISHED, 0.01, {"held": 0.0})
+    assert [ho.upstream for ho in host.of(wi)] == [other]
+
+
+def test_upstreams_that_do_not_answer_when_asked_are_passed_over(make_host):
+    host = make_host(**ASKING)
+    wi = host.take(BUY)
+    host.runner.probed(host.probes[0].address, Fate.UNREACHED, 0.01, {})
+    host.later(0.3)
+    assert host.of(wi) and host.of(wi)[0].upstream not in host.probes
+
+
+def test_a_client_that_leaves_while_upstreams_are_asked_gets_no_answer(make_host):
+    host = make_host(**ASKING)
+    wi = host.take(BUY)
+    host.runner.gone(wi)
+    for u in host.probes:
+        host.runner.probed(u.address, Fate.FINISHED, 0.01, {"held": 0.0})
+    host.later(3.0)
+    assert not host.sent and not host.ended
+
+
+def test_what_knowing_would_not_pay_for_is_not_asked(make_host):
+    host = make_host(**(ASKING | {"asking_price": 0.05}))
+    cheap, dear = host.take(LOOK), host.take(BUY)
+    assert host.of(cheap) and not host.of(dear) and len(host.probes) == 2
+
+
+def test_peers_tell_where_it_costs_less_than_asking(make_host):
+    prices = {"peers_allowed": True, "asking_allowed": True, "asking_price": 0.01, "telling_price": 0.01}
+    few, many = make_host(sidecars=4, **prices), make_host(sidecars=400, **prices)
+    few.take(), many.take()
+    assert few.told and not few.probes and many.probes and not many.told
+
+
+@pytest.mark.parametrize("body", [b"", b"\x01", b"\x01\x02", b"\x01\x02\x03\x04", bytes(255)])
+def test_a_peers_message_cut_short_or_from_nobody_harms_nothing(make_host, body):
+    host = make_host(sidecars=3, peers_allowed=True)
+    for peer in (-1, 1, 2, 99):
+        host.runner.heard(peer, body)
+    assert host.of(host.take())
+
+
+def test_a_silent_peers_counts_are_dropped(make_host):
+    host = make_host(upstreams=1, sidecars=3, peers_allowed=True)
+    tag = host.runner.balancer.upstreams["u0"].tag.to_bytes(2, "big")
+    host.runner.heard(1, tag + b"\x64")
+    ahead = host.take()
+    full = host.take()
+    host.end(host.of(ahead)[0])
+    host.later(2.0)
+    host.take()
+    assert host.answers(full) == ["deferred"] and host.of(host.take())
+
+
+def test_word_of_an_upstream_no_longer_listed_harms_nothing(make_host):
+    host = make_host(**ASKING)
+    wi = host.take(BUY)
+    asked = list(host.probes)
+    host.listed(News.CHANGES, *host.names, condition=Condition.GONE)
+    for u in [*asked, asked[0]]:
+        host.runner.probed(u.address, Fate.FINISHED, 0.01, {"held": 0.0})
+    host.later(1.0)
+    assert host.answers(wi) == ["deferred"] and not host.sent
+
+
+@pytest.mark.parametrize("upstreams", [1, 400])
+def test_a_list_of_any_length_is_used(make_host, upstreams):
+    host = make_host(upstreams=upstreams, sidecars=100_000)
+    host.serve(30)
+    assert len(host.sent) == 30
