--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -64,6 +64,8 @@
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 COUNT = 3  # bytes that a peer's count takes
+HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
+AT_ONCE = 4.0  # messages told without a pause
 
 
 class Histogram:
@@ -160,10 +162,11 @@
         self.asked_until = now
         self.mean_size = 1.0
         self.reported, self.reports, self.reported_at = 0.0, 0.0, now
-        self.told: dict[int, tuple[float, dict[int, int]]] = {}
+        self.told: dict[tuple[int, int], tuple[float, int]] = {}
         self.counted: dict[int, int] = {}
-        self.told_at = -inf
-        self.holding: dict[Upstream, None] = {}
+        self.heard_at = -inf
+        self.untold: dict[Upstream, None] = {}
+        self.may_tell, self.told_at = AT_ONCE, now
         self.tells, self.asks = self._cheapest()
         self.bad, self.outcomes = 0.0, 1.0
         self.out = 0
@@ -176,7 +179,7 @@
         handed: list[HandOff] = []
         copies, delays = 0, 1
         wanted = True
-        questions = self._questions(wi)
+        questions = self._questions(wi.category) if self.asks else 0
         while True:
             if wanted:
                 if questions and not handed:
@@ -189,7 +192,7 @@
                 if upstream is not None:
                     ho = yield Send(upstream, until - self.now, self._load(upstream))
                     upstream.pending[ho] = None
-                    self.holding[upstream] = None
+                    self.untold[upstream] = None
                     self.out += 1
                     if self._warmth(upstream) < 1:
                         upstream.sends.append(self.now)
@@ -277,7 +280,7 @@
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
         ready = len(self.near) + len(self.far)
-        elsewhere = sum(self.counted.values()) if self.told else self._mean_elsewhere() * ready
+        elsewhere = sum(self.counted.values()) if self._peers_heard() else self._mean_elsewhere() * ready
         return elsewhere + self.out > LINE * 2 / 3 * ready
 
     # Rule 2.
@@ -317,7 +320,7 @@
         typical = self._typical(wi.category)
         near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
         self._plan_afresh()
-        self._forget_silent_peers()
+        self._forget_old_counts()
         choice: list[tuple[Upstream, float, float]] = []
         for pool in (self.near, self.far):
             if kind is Group.ZONE:
@@ -362,16 +365,14 @@
         """Whether peers tell each other of every hand-off, or the first two of a plan are asked."""
         terms = self.terms
         heard = 2 * COUNT * (terms.sidecars - 1) / 256 * terms.telling_price
-        tells = terms.peers_allowed and terms.sidecars > 1
-        tells = tells and (not terms.asking_allowed or heard <= 2 * terms.asking_price)
+        asked = terms.asking_price * sum(map(self._questions, terms.categories)) / len(terms.categories)
+        tells = terms.peers_allowed and terms.sidecars > 1 and (not terms.asking_allowed or heard <= asked)
         return tells, terms.asking_allowed and not tells
 
-    def _questions(self, wi: WorkItem) -> int:
+    def _questions(self, category: Category) -> int:
         """How many upstreams it pays to ask."""
-        if not self.asks:
-            return 0
         mean = sum(c.payoff for c in self.terms.categories) / len(self.terms.categories)
-        return min(2, int(GAIN * wi.category.payoff / mean / max(self.terms.asking_price, 1e-9)))
+        return min(2, int(GAIN * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int) -> Steps:
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
@@ -406,35 +407,40 @@
         return self._typical(wi.category) * self._slowness(u) * self._small(u) * (1 + self._load(u))
 
     def _tell(self) -> Steps:
-        """Tell the peers what we have out, after each change of it."""
-        if self.tells and self.now >= self.told_at + self.shortest / 64:
-            self.told_at = self.now
-            counts = [u.tag.to_bytes(2, "big") + bytes([min(len(u.pending), 255)]) for u in self.holding]
+        """Tell the peers what has changed of what we have out, within our part of what each may hear."""
+        if not self.tells:
+            return
+        rate = HEARD / self.shortest / self.terms.sidecars
+        self.may_tell = min(AT_ONCE, self.may_tell + (self.now - self.told_at) * rate)
+        self.told_at = self.now
+        if self.untold and self.may_tell >= 1:
+            self.may_tell -= 1
+            counts = [u.tag.to_bytes(2, "big") + bytes([min(len(u.pending), 255)]) for u in self.untold]
+            self.untold.clear()
             yield Tell(b"".join(counts)[: 256 // COUNT * COUNT])
 
     def heard(self, peer: int, body: bytes) -> None:
         if not 0 <= peer < self.terms.sidecars:
             return
-        self._untell(peer)
-        counts: dict[int, int] = {}
         for i in range(0, len(body) - COUNT + 1, COUNT):
-            tag = int.from_bytes(body[i : i + 2], "big")
-            counts[tag] = body[i + 2]
-            self.counted[tag] = self.counted.get(tag, 0) + body[i + 2]
-        self.told[peer] = (self.now, counts)
+            tag, n = int.from_bytes(body[i : i + 2], "big"), body[i + 2]
+            _, before = self.told.pop((peer, tag), (0.0, 0))
+            if n:
+                self.told[peer, tag] = (self.now, n)
+            self.counted[tag] = self.counted.get(tag, 0) + n - before
+        self.heard_at = self.now
 
-    def _untell(self, peer: int) -> None:
-        if peer in self.told:
-            for tag, n in self.told.pop(peer)[1].items():
-                self.counted[tag] -= n
+    def _peers_heard(self) -> bool:
+        return self.heard_at > self.now - self.shortest
 
-    def _forget_silent_peers(self) -> None:
+    def _forget_old_counts(self) -> None:
         """Guards against counting for ever what a killed or cut-off sidecar last had out."""
         while self.told:
-            peer, (at, _) = next(iter(self.told.items()))
+            (peer, tag), (at, n) = next(iter(self.told.items()))
             if at > self.now - self.shortest:
                 return
-            self._untell(peer)
+            del self.told[peer, tag]
+            self.counted[tag] -= n
 
     def _typical(self, category: Category) -> float:
         seen = self.typical[category].aged(self.now, 2 * STALE * self.shortest)
@@ -450,7 +456,7 @@
 
     def _elsewhere(self, u: Upstream) -> float:
         """The last report, pulled to the mean as it ages; with peers' counts, those."""
-        if self.told:
+        if self._peers_heard():
             return float(self.counted.get(u.tag, 0))
         mean = self._mean_elsewhere()
         if u.report is None:
@@ -530,8 +536,7 @@
     def settle(self, outcome: Outcome) -> None:
         ho, u = outcome.ho, outcome.ho.upstream
         u.pending.pop(ho, None)
-        if not u.pending:
-            self.holding.pop(u, None)
+        self.untold[u] = None
         self.out -= 1
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             u.spare.append(self.now)
