--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -64,6 +64,7 @@
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 COUNT = 3  # bytes that a peer's count takes
+MESSAGE = 16  # bytes that a short message costs, as far as prices go
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
 AT_ONCE = 4.0  # messages told without a pause
 
@@ -364,7 +365,7 @@
     def _cheapest(self) -> tuple[bool, bool]:
         """Whether peers tell each other of every hand-off, or the first two of a plan are asked."""
         terms = self.terms
-        heard = 2 * COUNT * (terms.sidecars - 1) / 256 * terms.telling_price
+        heard = 2 * MESSAGE * (terms.sidecars - 1) / 256 * terms.telling_price
         asked = terms.asking_price * sum(map(self._questions, terms.categories)) / len(terms.categories)
         tells = terms.peers_allowed and terms.sidecars > 1 and (not terms.asking_allowed or heard <= asked)
         return tells, terms.asking_allowed and not tells
