--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -367,8 +367,9 @@
         terms = self.terms
         heard = 2 * MESSAGE * (terms.sidecars - 1) / 256 * terms.telling_price
         asked = terms.asking_price * sum(map(self._questions, terms.categories)) / len(terms.categories)
-        tells = terms.peers_allowed and terms.sidecars > 1 and (not terms.asking_allowed or heard <= asked)
-        return tells, terms.asking_allowed and not tells
+        limit = GAIN if terms.told_with_answers or not terms.asking_allowed else asked
+        tells = terms.peers_allowed and terms.sidecars > 1 and heard <= limit
+        return tells, terms.asking_allowed and (terms.told_with_answers or not tells)
 
     def _questions(self, category: Category) -> int:
         """How many upstreams it pays to ask."""
@@ -392,12 +393,17 @@
                 left -= 1
                 if event.fate is Fate.FINISHED:
                     good.append(event.upstream)
+                    if self.terms.told_with_answers:
+                        # What it reports is as old as any report; that it came first says that it is free.
+                        break
                     until = min(until, self.now + self.shortest / 32)
         # Guards against handing off to one that has left the list since it was asked.
         good = [u for u in good if self._listed_ready(u)]
         if not good:
             return self._draw(wi, [], due, stake, asked)
         best = min(good, key=lambda u: self._expected(u, wi))
+        if self.terms.told_with_answers:
+            return best
         fits = self._load(best) < LINE or self._expected(best, wi) < due * FIT * stake
         return best if fits else None
 
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -90,6 +90,7 @@
     cancel_allowed: bool = True
     peers_allowed: bool = False
     asking_allowed: bool = False
+    told_with_answers: bool = False
     longest_come_back: float = 0.0
     keep_idle: float = 0.0
     customers: list[Customer] = []
--- a/starlingwheel/simhost/wire.py
+++ b/starlingwheel/simhost/wire.py
@@ -124,7 +124,9 @@
         raise msgspec.ValidationError(str(error)) from None
     if not isinstance(given, dict):
         raise msgspec.ValidationError("not an object")
-    caps, rules, charges = (_table(given, name) for name in ("caps", "rules", "charges"))
+    caps, rules, charges, reports = (
+        _table(given, name) for name in ("caps", "rules", "charges", "loadReport")
+    )
     ours = {
         "categories": [_category(c) for c in given.get("categories", [])],
         "customers": [_customer(c) for c in given.get("tenants") or []],
@@ -141,6 +143,7 @@
         "asking_price": charges.get("probe", 0.0),
         "telling_price": charges.get("peer", 0.0),
         "asking_allowed": caps.get("probing", False),
+        "told_with_answers": reports.get("how") == "inline",
         "over_share_payoff": given.get("overagePayoff", 1.0),
         "copies_allowed": caps.get("mayDuplicate", False),
         "cancel_allowed": caps.get("cancel", False),
