--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -184,13 +184,13 @@
         while True:
             if wanted:
                 if questions and not handed:
-                    upstream = yield from self._ask(wi, due, stake, questions)
+                    upstream = yield from self._ask(wi, due, stake, questions, until)
                     if upstream is GONE:
                         return
                 else:
                     upstream = self._draw(wi, handed, due, stake)
                 wanted = False
-                if upstream is not None:
+                if upstream is not None and self.now < until:
                     ho = yield Send(upstream, until - self.now, self._load(upstream))
                     upstream.pending[ho] = None
                     self.untold[upstream] = None
@@ -367,22 +367,22 @@
         terms = self.terms
         heard = 2 * MESSAGE * (terms.sidecars - 1) / 256 * terms.telling_price
         asked = terms.asking_price * sum(map(self._questions, terms.categories)) / len(terms.categories)
-        limit = GAIN if terms.told_with_answers or not terms.asking_allowed else asked
-        tells = terms.peers_allowed and terms.sidecars > 1 and heard <= limit
-        return tells, terms.asking_allowed and (terms.told_with_answers or not tells)
+        tells = terms.peers_allowed and terms.sidecars > 1 and (not terms.asking_allowed or heard <= asked)
+        return tells, terms.asking_allowed and not tells
 
     def _questions(self, category: Category) -> int:
         """How many upstreams it pays to ask."""
         mean = sum(c.payoff for c in self.terms.categories) / len(self.terms.categories)
         return min(2, int(GAIN * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
 
-    def _ask(self, wi: WorkItem, due: float, stake: float, most: int) -> Steps:
+    def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
         asked: list[Upstream] = []
         while len(asked) < most and (u := self._draw(wi, [], due, stake, asked)) is not None:
             asked.append(u)
             yield Probe(u)
-        until = self.now + self.shortest / 4
+        # Guards against asking on while the client's patience runs out.
+        until = min(until, self.now + self.shortest / 4)
         good: list[Upstream] = []
         left = len(asked)
         while left and self.now < until:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -67,6 +67,13 @@
     assert not host.sent and not host.ended
 
 
+def test_an_impatient_client_is_answered_though_nobody_asked_has(make_host):
+    host = make_host(**ASKING)
+    wi = host.take(BUY, patience=0.1)
+    host.later(0.1)
+    assert host.answers(wi) == ["deferred"] and not host.sent
+
+
 def test_what_knowing_would_not_pay_for_is_not_asked(make_host):
     host = make_host(**(ASKING | {"asking_price": 0.05}))
     cheap, dear = host.take(LOOK), host.take(BUY)
