--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -309,7 +309,13 @@
     # The plan.
 
     def _draw(
-        self, wi: WorkItem, handed: list[HandOff], due: float, stake: float, but: Sequence[Upstream] = ()
+        self,
+        wi: WorkItem,
+        handed: list[HandOff],
+        due: float,
+        stake: float,
+        but: Sequence[Upstream] = (),
+        full: bool = False,
     ) -> Upstream | None:
         if stake == 0 and self._crowded():
             # Guards against work that is worth nothing taking the room of work that is.
@@ -340,7 +346,7 @@
                 line = LINE * max(1.0, 1 / self._small(u)) ** 0.5
                 # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
                 # what it has once nothing of its own is out.
-                if load >= 1 and (expected > left or load >= line) and self.out:
+                if load >= 1 and (expected > left or load >= line) and self.out and not full:
                     continue
                 weight = self._warmth(u) / ((1 + load) * relative) * len(pool) / len(looked)
                 choice.append((u, weight, expected))
@@ -378,7 +384,7 @@
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
         asked: list[Upstream] = []
-        while len(asked) < most and (u := self._draw(wi, [], due, stake, asked)) is not None:
+        while len(asked) < most and (u := self._draw(wi, [], due, stake, asked, full=True)) is not None:
             asked.append(u)
             yield Probe(u)
         # Guards against asking on while the client's patience runs out.
