--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -53,7 +53,6 @@
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
-SURE = 0.7  # the same where the load is known for certain, as it was asked for
 LINE = 2.5  # work items at an upstream of mean size past which more would only wait, or make it choke
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
@@ -63,7 +62,7 @@
 BEYOND = 1.5  # times the middle customer's use of its share past which a customer's is taken to be used up
 STALE = 4.0  # shortest due times by which what was seen counts half
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
-GAIN = 0.1  # share of a mean payoff that knowing the load may save
+GAIN = 0.2  # share of a mean payoff that knowing the load may save
 COUNT = 3  # bytes that a peer's count takes
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
@@ -385,31 +384,13 @@
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
         asked: list[Upstream] = []
+        while len(asked) < most and (u := self._draw(wi, [], due, stake, asked, full=True)) is not None:
+            asked.append(u)
+            yield Probe(u)
         # Guards against asking on while the client's patience runs out.
         until = min(until, self.now + self.shortest / 4)
-        while True:
-            before = len(asked)
-            while len(asked) < before + most:
-                u = self._draw(wi, [], due, stake, asked, full=True)
-                if u is None:
-                    break
-                asked.append(u)
-                yield Probe(u)
-            good = yield from self._hear(len(asked) - before, until)
-            if good is GONE:
-                return GONE
-            # Guards against handing off to one that has left the list since it was asked.
-            good = [u for u in good if self._listed_ready(u)]
-            if good:
-                best = min(good, key=lambda u: self._expected(u, wi))
-                if self.terms.told_with_answers or self._expected(best, wi) < due * SURE * stake:
-                    return best
-            if len(asked) == before or before or self.now >= until:
-                return None if good or self.now >= until else self._draw(wi, [], due, stake, asked)
-
-    def _hear(self, left: int, until: float) -> Steps:
-        """Those that answer, till one has and the others have had their chance."""
         good: list[Upstream] = []
+        left = len(asked)
         while left and self.now < until:
             event = yield Wait(until)
             if event is GONE:
@@ -422,7 +403,15 @@
                         # What it reports is as old as any report; that it came first says that it is free.
                         break
                     until = min(until, self.now + self.shortest / 32)
-        return good
+        # Guards against handing off to one that has left the list since it was asked.
+        good = [u for u in good if self._listed_ready(u)]
+        if not good:
+            return self._draw(wi, [], due, stake, asked)
+        best = min(good, key=lambda u: self._expected(u, wi))
+        if self.terms.told_with_answers:
+            return best
+        fits = self._load(best) < LINE or self._expected(best, wi) < due * FIT * stake
+        return best if fits else None
 
     def _listed_ready(self, u: Upstream) -> bool:
         return self.upstreams.get(u.address) is u and u.listing.condition is Condition.READY
