--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -62,9 +62,11 @@
 BEYOND = 1.5  # times the middle customer's use of its share past which a customer's is taken to be used up
 STALE = 4.0  # shortest due times by which what was seen counts half
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
-GAIN = 0.2  # share of a mean payoff that knowing the load may save
+GAIN = 0.1  # share of a mean payoff that knowing the load may save
 COUNT = 3  # bytes that a peer's count takes
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
+SURVEYS = 0.03  # share of all payoff that surveys of the fleet may cost
+FULL = 254  # told of an upstream that did not answer
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
 AT_ONCE = 4.0  # messages told without a pause
 
@@ -152,6 +154,7 @@
         self.terms, self.chance, self.now = terms, chance, now
         self.upstreams: dict[str, Upstream] = {}
         self.stale_plan = True
+        self.tagged: dict[int, Upstream] = {}
         self.near: list[Upstream] = []
         self.far: list[Upstream] = []
         self.shortest = min(c.due_time for c in terms.categories)
@@ -432,9 +435,54 @@
             self.untold.clear()
             yield Tell(b"".join(counts)[: 256 // COUNT * COUNT])
 
+    def _survey(self) -> Steps:
+        """Where counts are not told: now and then one sidecar, by chance, asks all upstreams and tells the others.
+
+        How often all of them together do it follows from what it costs and what the work brings.
+        """
+        terms = self.terms
+        while True:
+            cost = len(self.upstreams) * terms.asking_price
+            told = (MESSAGE + COUNT * len(self.upstreams)) * terms.sidecars / 256
+            rate = (
+                SURVEYS
+                * sum(c.allowance for c in terms.customers)
+                / max(cost + told * terms.telling_price, 1e-9)
+            )
+            often = min(rate, 4 / self.shortest) / terms.sidecars
+            until = self.now + self.chance.expovariate(max(often, 1e-6))
+            while self.now < until:
+                yield Wait(until)
+            self._plan_afresh()
+            asked = dict.fromkeys(self.near + self.far, FULL)
+            for u in asked:
+                yield Probe(u)
+            until = self.now + self.shortest / 4
+            left = len(asked)
+            while left and self.now < until:
+                event = yield Wait(until)
+                if isinstance(event, Asked):
+                    left -= 1
+                    u = event.upstream
+                    if event.fate is Fate.FINISHED and u.report is not None:
+                        asked[u] = min(round(u.report[0]), FULL - 1)
+            counts = [u.tag.to_bytes(2, "big") + bytes([n]) for u, n in asked.items()]
+            most = 256 // COUNT
+            for i in range(0, len(counts), most):
+                yield Tell(b"".join(counts[i : i + most]))
+
+    def _surveyed(self, body: bytes) -> None:
+        for i in range(0, len(body) - COUNT + 1, COUNT):
+            u = self.tagged.get(int.from_bytes(body[i : i + 2], "big"))
+            if u is not None:
+                self._read(u, {"held": float(body[i + 2])})
+
     def heard(self, peer: int, body: bytes) -> None:
         if not 0 <= peer < self.terms.sidecars:
             return
+        if not self.tells:
+            self._surveyed(body)
+            return
         for i in range(0, len(body) - COUNT + 1, COUNT):
             tag, n = int.from_bytes(body[i : i + 2], "big"), body[i + 2]
             _, before = self.told.pop((peer, tag), (0.0, 0))
@@ -617,7 +665,8 @@
             elif known := self.upstreams.get(entry.address):
                 known.update(entry, self.now)
             else:
-                self.upstreams[entry.address] = Upstream(entry, self.now)
+                u = self.upstreams[entry.address] = Upstream(entry, self.now)
+                self.tagged[u.tag] = u
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
         u = self.upstreams.get(address)
@@ -632,7 +681,10 @@
     # Standing chores.
 
     def chores(self) -> list[Steps]:
-        return [self._follow_list()] if self.terms.must_subscribe else []
+        chores = [self._follow_list()] if self.terms.must_subscribe else []
+        if self.asks and self.terms.peers_allowed and not self.terms.told_with_answers:
+            chores.append(self._survey())
+        return chores
 
     def _follow_list(self) -> Steps:
         often = max(self.terms.ask_within / 32, self.shortest / 4)
