--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -65,7 +65,7 @@
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 COUNT = 3  # bytes that a peer's count takes
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
-SURVEYS = 0.03  # share of all payoff that surveys of the fleet may cost
+SURVEYS = 0.04  # share of all payoff that surveys of the fleet may cost
 FULL = 254  # told of an upstream that did not answer
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
 AT_ONCE = 4.0  # messages told without a pause
@@ -183,7 +183,7 @@
         handed: list[HandOff] = []
         copies, delays = 0, 1
         wanted = True
-        questions = self._questions(wi.category) if self.asks else 0
+        questions = self._questions(wi.category) if self.asks and self.terms.told_with_answers else 0
         while True:
             if wanted:
                 if questions and not handed:
@@ -436,7 +436,7 @@
             yield Tell(b"".join(counts)[: 256 // COUNT * COUNT])
 
     def _survey(self) -> Steps:
-        """Where counts are not told: now and then one sidecar, by chance, asks all upstreams and tells the others.
+        """Where counts are not told: now and then one sidecar, by chance, asks all upstreams and tells peers.
 
         How often all of them together do it follows from what it costs and what the work brings.
         """
@@ -474,7 +474,12 @@
     def _surveyed(self, body: bytes) -> None:
         for i in range(0, len(body) - COUNT + 1, COUNT):
             u = self.tagged.get(int.from_bytes(body[i : i + 2], "big"))
-            if u is not None:
+            if u is None:
+                continue
+            if body[i + 2] == FULL:
+                # Guards against a lost zone being taken for a full fleet: it does not count in the mean.
+                u.report = (float(FULL), self.now)
+            else:
                 self._read(u, {"held": float(body[i + 2])})
 
     def heard(self, peer: int, body: bytes) -> None:
