--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -65,8 +65,6 @@
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 COUNT = 3  # bytes that a peer's count takes
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
-SURVEYS = 0.04  # share of all payoff that surveys of the fleet may cost
-FULL = 254  # told of an upstream that did not answer
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
 AT_ONCE = 4.0  # messages told without a pause
 
@@ -154,7 +152,6 @@
         self.terms, self.chance, self.now = terms, chance, now
         self.upstreams: dict[str, Upstream] = {}
         self.stale_plan = True
-        self.tagged: dict[int, Upstream] = {}
         self.near: list[Upstream] = []
         self.far: list[Upstream] = []
         self.shortest = min(c.due_time for c in terms.categories)
@@ -183,7 +180,7 @@
         handed: list[HandOff] = []
         copies, delays = 0, 1
         wanted = True
-        questions = self._questions(wi.category) if self.asks and self.terms.told_with_answers else 0
+        questions = self._questions(wi.category) if self.asks else 0
         while True:
             if wanted:
                 if questions and not handed:
@@ -382,32 +379,39 @@
     def _questions(self, category: Category) -> int:
         """How many upstreams it pays to ask."""
         mean = sum(c.payoff for c in self.terms.categories) / len(self.terms.categories)
-        return min(2, int(GAIN * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
+        most = 2 if self.terms.told_with_answers else 3
+        return min(most, int(GAIN * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
         asked: list[Upstream] = []
-        while len(asked) < most and (u := self._draw(wi, [], due, stake, asked, full=True)) is not None:
-            asked.append(u)
-            yield Probe(u)
+        good: list[Upstream] = []
+        # Fresh figures are asked for one at a time, until one is free; where they are old, the first to answer is.
+        waiting, at_once = 0, 2 if self.terms.told_with_answers else 1
         # Guards against asking on while the client's patience runs out.
         until = min(until, self.now + self.shortest / 4)
-        good: list[Upstream] = []
-        left = len(asked)
-        while left and self.now < until:
-            event = yield Wait(until)
+        while self.now < until and not any(self._load(u) < 1 for u in good):
+            if waiting < at_once and len(asked) < most:
+                u = self._draw(wi, [], due, stake, asked, full=True)
+                if u is not None:
+                    asked.append(u)
+                    waiting += 1
+                    yield Probe(u)
+                    continue
+            if not waiting or (good and self.terms.told_with_answers):
+                break
+            last = len(asked) == most or self.terms.told_with_answers
+            event = yield Wait(until if last else min(until, self.now + self.shortest / 32))
             if event is GONE:
                 return GONE
-            if isinstance(event, Asked):
-                left -= 1
-                if event.fate is Fate.FINISHED:
-                    good.append(event.upstream)
-                    if self.terms.told_with_answers:
-                        # What it reports is as old as any report; that it came first says that it is free.
-                        break
-                    until = min(until, self.now + self.shortest / 32)
-        # Guards against handing off to one that has left the list since it was asked.
-        good = [u for u in good if self._listed_ready(u)]
+            waiting -= 1
+            if (
+                isinstance(event, Asked)
+                and event.fate is Fate.FINISHED
+                and self._listed_ready(event.upstream)
+            ):
+                # Guards against handing off to one that has left the list since it was asked.
+                good.append(event.upstream)
         if not good:
             return self._draw(wi, [], due, stake, asked)
         best = min(good, key=lambda u: self._expected(u, wi))
@@ -435,59 +439,9 @@
             self.untold.clear()
             yield Tell(b"".join(counts)[: 256 // COUNT * COUNT])
 
-    def _survey(self) -> Steps:
-        """Where counts are not told: now and then one sidecar, by chance, asks all upstreams and tells peers.
-
-        How often all of them together do it follows from what it costs and what the work brings.
-        """
-        terms = self.terms
-        while True:
-            cost = len(self.upstreams) * terms.asking_price
-            told = (MESSAGE + COUNT * len(self.upstreams)) * terms.sidecars / 256
-            rate = (
-                SURVEYS
-                * sum(c.allowance for c in terms.customers)
-                / max(cost + told * terms.telling_price, 1e-9)
-            )
-            often = min(rate, 4 / self.shortest) / terms.sidecars
-            until = self.now + self.chance.expovariate(max(often, 1e-6))
-            while self.now < until:
-                yield Wait(until)
-            self._plan_afresh()
-            asked = dict.fromkeys(self.near + self.far, FULL)
-            for u in asked:
-                yield Probe(u)
-            until = self.now + self.shortest / 4
-            left = len(asked)
-            while left and self.now < until:
-                event = yield Wait(until)
-                if isinstance(event, Asked):
-                    left -= 1
-                    u = event.upstream
-                    if event.fate is Fate.FINISHED and u.report is not None:
-                        asked[u] = min(round(u.report[0]), FULL - 1)
-            counts = [u.tag.to_bytes(2, "big") + bytes([n]) for u, n in asked.items()]
-            most = 256 // COUNT
-            for i in range(0, len(counts), most):
-                yield Tell(b"".join(counts[i : i + most]))
-
-    def _surveyed(self, body: bytes) -> None:
-        for i in range(0, len(body) - COUNT + 1, COUNT):
-            u = self.tagged.get(int.from_bytes(body[i : i + 2], "big"))
-            if u is None:
-                continue
-            if body[i + 2] == FULL:
-                # Guards against a lost zone being taken for a full fleet: it does not count in the mean.
-                u.report = (float(FULL), self.now)
-            else:
-                self._read(u, {"held": float(body[i + 2])})
-
     def heard(self, peer: int, body: bytes) -> None:
         if not 0 <= peer < self.terms.sidecars:
             return
-        if not self.tells:
-            self._surveyed(body)
-            return
         for i in range(0, len(body) - COUNT + 1, COUNT):
             tag, n = int.from_bytes(body[i : i + 2], "big"), body[i + 2]
             _, before = self.told.pop((peer, tag), (0.0, 0))
@@ -670,8 +624,7 @@
             elif known := self.upstreams.get(entry.address):
                 known.update(entry, self.now)
             else:
-                u = self.upstreams[entry.address] = Upstream(entry, self.now)
-                self.tagged[u.tag] = u
+                self.upstreams[entry.address] = Upstream(entry, self.now)
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
         u = self.upstreams.get(address)
@@ -686,10 +639,7 @@
     # Standing chores.
 
     def chores(self) -> list[Steps]:
-        chores = [self._follow_list()] if self.terms.must_subscribe else []
-        if self.asks and self.terms.peers_allowed and not self.terms.told_with_answers:
-            chores.append(self._survey())
-        return chores
+        return [self._follow_list()] if self.terms.must_subscribe else []
 
     def _follow_list(self) -> Steps:
         often = max(self.terms.ask_within / 32, self.shortest / 4)
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -67,7 +67,6 @@
 class Customer(msgspec.Struct, frozen=True, eq=False):
     name: str
     share: float
-    allowance: float = 0.0
 
 
 class Terms(msgspec.Struct, frozen=True, eq=False):
