--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -65,6 +65,7 @@
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 COUNT = 3  # bytes that a peer's count takes
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
+WARNING = 255  # told in place of a count: the upstream has failed a hand-off
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
 AT_ONCE = 4.0  # messages told without a pause
 
@@ -137,6 +138,8 @@
         self.phase: float | None = None
         self.failures, self.pause, self.aside_until, self.trickle = 0, 0.0, -inf, inf
         self.unreached = False
+        self.warned_at = self.warned_until = -inf
+        self.warned_pause = 0.0
         self.spare: list[float] = []
 
     def update(self, listing: Listing, now: float) -> None:
@@ -167,6 +170,9 @@
         self.counted: dict[int, int] = {}
         self.heard_at = -inf
         self.untold: dict[Upstream, None] = {}
+        self.unwarned: dict[Upstream, None] = {}
+        self.tagged: dict[int, Upstream] = {}
+        self.suspects: dict[Upstream, None] = {}
         self.may_tell, self.told_at = AT_ONCE, now
         self.tells, self.asks = self._cheapest()
         self.bad, self.outcomes = 0.0, 1.0
@@ -193,7 +199,8 @@
                 if upstream is not None and self.now < until:
                     ho = yield Send(upstream, until - self.now, self._load(upstream))
                     upstream.pending[ho] = None
-                    self.untold[upstream] = None
+                    if self.tells:
+                        self.untold[upstream] = None
                     self.out += 1
                     if self._warmth(upstream) < 1:
                         upstream.sends.append(self.now)
@@ -386,7 +393,7 @@
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
         asked: list[Upstream] = []
         good: list[Upstream] = []
-        # Fresh figures are asked for one at a time, until one is free; where they are old, the first to answer is.
+        # Fresh figures are asked for one at a time, until one is free; of old ones, the first to answer is.
         waiting, at_once = 0, 2 if self.terms.told_with_answers else 1
         # Guards against asking on while the client's patience runs out.
         until = min(until, self.now + self.shortest / 4)
@@ -404,6 +411,7 @@
             event = yield Wait(until if last else min(until, self.now + self.shortest / 32))
             if event is GONE:
                 return GONE
+            yield from self._tell()
             waiting -= 1
             if (
                 isinstance(event, Asked)
@@ -428,27 +436,32 @@
 
     def _tell(self) -> Steps:
         """Tell the peers what has changed of what we have out, within our part of what each may hear."""
-        if not self.tells:
+        if not self.untold and not self.unwarned:
             return
         rate = HEARD / self.shortest / self.terms.sidecars
         self.may_tell = min(AT_ONCE, self.may_tell + (self.now - self.told_at) * rate)
         self.told_at = self.now
-        if self.untold and self.may_tell >= 1:
+        if self.may_tell >= 1:
             self.may_tell -= 1
-            counts = [u.tag.to_bytes(2, "big") + bytes([min(len(u.pending), 255)]) for u in self.untold]
+            told = [(u.tag, WARNING) for u in self.unwarned]
+            told += [(u.tag, min(len(u.pending), WARNING - 1)) for u in self.untold]
+            self.unwarned.clear()
             self.untold.clear()
-            yield Tell(b"".join(counts)[: 256 // COUNT * COUNT])
+            yield Tell(b"".join(tag.to_bytes(2, "big") + bytes([n]) for tag, n in told[: 256 // COUNT]))
 
     def heard(self, peer: int, body: bytes) -> None:
         if not 0 <= peer < self.terms.sidecars:
             return
         for i in range(0, len(body) - COUNT + 1, COUNT):
             tag, n = int.from_bytes(body[i : i + 2], "big"), body[i + 2]
+            if n == WARNING:
+                self._warned(tag)
+                continue
             _, before = self.told.pop((peer, tag), (0.0, 0))
             if n:
                 self.told[peer, tag] = (self.now, n)
             self.counted[tag] = self.counted.get(tag, 0) + n - before
-        self.heard_at = self.now
+            self.heard_at = self.now
 
     def _peers_heard(self) -> bool:
         return self.heard_at > self.now - self.shortest
@@ -516,8 +529,10 @@
             u.spare = [since for since in u.spare if since > self.now - self.terms.keep_idle]
             if u.spare:
                 return True
-        if self.now < u.aside_until:
+        if self.now < max(u.aside_until, u.warned_until):
             return False
+        if u in self.suspects and wi.category.effect is Effect.EXCLUSIVE:
+            return self.now > u.warned_at + STALE * self.shortest
         if u.pending:
             # Guards against upstreams that take work and answer nothing: no outcome ever tells of them.
             oldest = next(iter(u.pending))
@@ -532,6 +547,26 @@
         expected = self._typical(ho.wi.category) * (1 + ho.load)
         return self.now - max(ho.sent, ho.upstream.answered) - SILENT * expected
 
+    def _warned(self, tag: int) -> None:
+        """A peer's hand-off has failed there.
+
+        Guards against each of hundreds of quiet sidecars having to find out for itself.
+        """
+        u = self.tagged.get(tag)
+        if u is None:
+            return
+        for old in [s for s in self.suspects if s.warned_at < self.now - STALE * self.shortest]:
+            del self.suspects[old]
+        # Guards against a fault common to all leaving nobody to send to.
+        if u in self.suspects or 2 * len(self.suspects) < len(self.near) + len(self.far):
+            if self.now >= u.warned_until:
+                u.warned_pause = (
+                    min(2 * u.warned_pause, 2 * self.shortest) if u in self.suspects else self.shortest / 2
+                )
+                u.warned_until = self.now + u.warned_pause
+            u.warned_at = self.now
+            self.suspects[u] = None
+
     def _note(self, u: Upstream, bad: bool) -> None:
         self.bad, self.outcomes = self.bad + bad, self.outcomes + 1
         if self.outcomes > 8 * max(len(self.near) + len(self.far), 1):
@@ -544,6 +579,8 @@
                 u.unreached = False
             return
         u.failures += 1
+        if self.terms.peers_allowed and self.terms.sidecars > 1:
+            self.unwarned[u] = None
         # Guards against setting the whole fleet aside for a fault that is common or ours: the more of all
         # hand-offs fail, the longer the row that says anything about one upstream.
         # One that can't be reached is not condemned by it: what runs over open connections goes on.
@@ -556,7 +593,8 @@
     def settle(self, outcome: Outcome) -> None:
         ho, u = outcome.ho, outcome.ho.upstream
         u.pending.pop(ho, None)
-        self.untold[u] = None
+        if self.tells:
+            self.untold[u] = None
         self.out -= 1
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             u.spare.append(self.now)
@@ -624,7 +662,8 @@
             elif known := self.upstreams.get(entry.address):
                 known.update(entry, self.now)
             else:
-                self.upstreams[entry.address] = Upstream(entry, self.now)
+                u = self.upstreams[entry.address] = Upstream(entry, self.now)
+                self.tagged[u.tag] = u
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
         u = self.upstreams.get(address)
