--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -579,8 +579,6 @@
                 u.unreached = False
             return
         u.failures += 1
-        if self.terms.peers_allowed and self.terms.sidecars > 1:
-            self.unwarned[u] = None
         # Guards against setting the whole fleet aside for a fault that is common or ours: the more of all
         # hand-offs fail, the longer the row that says anything about one upstream.
         # One that can't be reached is not condemned by it: what runs over open connections goes on.
@@ -607,6 +605,8 @@
                 self._note(u, bad=False)
             case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
                 self._note(u, bad=True)
+                if self.terms.peers_allowed and outcome.fate is not Fate.UNREACHED:
+                    self.unwarned[u] = None
             case Fate.CANCELLED | Fate.OVERDUE:
                 if self._silence(ho) > 0:
                     self._note(u, bad=True)
