--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -138,8 +138,7 @@
         self.phase: float | None = None
         self.failures, self.pause, self.aside_until, self.trickle = 0, 0.0, -inf, inf
         self.unreached = False
-        self.warned_at = self.warned_until = -inf
-        self.warned_pause = 0.0
+        self.warned_at = -inf
         self.spare: list[float] = []
 
     def update(self, listing: Listing, now: float) -> None:
@@ -529,10 +528,10 @@
             u.spare = [since for since in u.spare if since > self.now - self.terms.keep_idle]
             if u.spare:
                 return True
-        if self.now < max(u.aside_until, u.warned_until):
+        if self.now < u.aside_until:
+            return False
+        if u in self.suspects and wi.category.effect is Effect.EXCLUSIVE and self._suspect(u):
             return False
-        if u in self.suspects and wi.category.effect is Effect.EXCLUSIVE:
-            return self.now > u.warned_at + STALE * self.shortest
         if u.pending:
             # Guards against upstreams that take work and answer nothing: no outcome ever tells of them.
             oldest = next(iter(u.pending))
@@ -553,20 +552,17 @@
         Guards against each of hundreds of quiet sidecars having to find out for itself.
         """
         u = self.tagged.get(tag)
-        if u is None:
-            return
-        for old in [s for s in self.suspects if s.warned_at < self.now - STALE * self.shortest]:
+        for old in [s for s in self.suspects if not self._suspect(s)]:
             del self.suspects[old]
         # Guards against a fault common to all leaving nobody to send to.
-        if u in self.suspects or 2 * len(self.suspects) < len(self.near) + len(self.far):
-            if self.now >= u.warned_until:
-                u.warned_pause = (
-                    min(2 * u.warned_pause, 2 * self.shortest) if u in self.suspects else self.shortest / 2
-                )
-                u.warned_until = self.now + u.warned_pause
+        if u is not None and 2 * len(self.suspects) < len(self.near) + len(self.far):
             u.warned_at = self.now
             self.suspects[u] = None
 
+    def _suspect(self, u: Upstream) -> bool:
+        """Only exclusive work can't be sent again after an error; other work goes there and tells if it lasts."""
+        return self.now < u.warned_at + STALE * self.shortest
+
     def _note(self, u: Upstream, bad: bool) -> None:
         self.bad, self.outcomes = self.bad + bad, self.outcomes + 1
         if self.outcomes > 8 * max(len(self.near) + len(self.far), 1):
@@ -605,8 +601,10 @@
                 self._note(u, bad=False)
             case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
                 self._note(u, bad=True)
-                if self.terms.peers_allowed and outcome.fate is not Fate.UNREACHED:
+                known = self.now < u.warned_at + self.shortest
+                if self.terms.peers_allowed and outcome.fate is not Fate.UNREACHED and not known:
                     self.unwarned[u] = None
+                    self._warned(u.tag)
             case Fate.CANCELLED | Fate.OVERDUE:
                 if self._silence(ho) > 0:
                     self._note(u, bad=True)
