--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -185,7 +185,7 @@
         handed: list[HandOff] = []
         copies, delays = 0, 1
         wanted = True
-        questions = self._questions(wi.category) if self.asks else 0
+        questions = self._questions(wi.category, self._mean_elsewhere()) if self.asks else 0
         while True:
             if wanted:
                 if questions and not handed:
@@ -382,11 +382,13 @@
         tells = terms.peers_allowed and terms.sidecars > 1 and (not terms.asking_allowed or heard <= asked)
         return tells, terms.asking_allowed and not tells
 
-    def _questions(self, category: Category) -> int:
+    def _questions(self, category: Category, crowd: float = 0.0) -> int:
         """How many upstreams it pays to ask."""
         mean = sum(c.payoff for c in self.terms.categories) / len(self.terms.categories)
         most = 2 if self.terms.told_with_answers else 3
-        return min(most, int(GAIN * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
+        # Guards against work of little payoff, sent blindly, filling the lines of a crowded fleet.
+        gain = GAIN * (1 + crowd)
+        return min(most, int(gain * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
@@ -395,7 +397,7 @@
         # Fresh figures are asked for one at a time, until one is free; of old ones, the first to answer is.
         waiting, at_once = 0, 2 if self.terms.told_with_answers else 1
         # Guards against asking on while the client's patience runs out.
-        until = min(until, self.now + self.shortest / 4)
+        until = min(until, self.now + due * stake / 4)
         while self.now < until and not any(self._load(u) < 1 for u in good):
             if waiting < at_once and len(asked) < most:
                 u = self._draw(wi, [], due, stake, asked, full=True)
@@ -420,7 +422,9 @@
                 # Guards against handing off to one that has left the list since it was asked.
                 good.append(event.upstream)
         if not good:
-            return self._draw(wi, [], due, stake, asked)
+            # Guards against a jam that never ends because each idle sidecar goes on sending into it: where
+            # questions wait in line, no answer means that the lines are too long.
+            return None if self.terms.told_with_answers else self._draw(wi, [], due, stake, asked)
         best = min(good, key=lambda u: self._expected(u, wi))
         if self.terms.told_with_answers:
             return best
@@ -560,7 +564,7 @@
             self.suspects[u] = None
 
     def _suspect(self, u: Upstream) -> bool:
-        """Only exclusive work can't be sent again after an error; other work goes there and tells if it lasts."""
+        """Only exclusive work can't be sent again after an error; other work goes there and tells on."""
         return self.now < u.warned_at + STALE * self.shortest
 
     def _note(self, u: Upstream, bad: bool) -> None:
