--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -378,27 +378,32 @@
         """Whether peers tell each other of every hand-off, or the first two of a plan are asked."""
         terms = self.terms
         heard = 2 * MESSAGE * (terms.sidecars - 1) / 256 * terms.telling_price
-        asked = terms.asking_price * sum(map(self._questions, terms.categories)) / len(terms.categories)
+        asked = (
+            terms.asking_price
+            * sum(min(2, self._questions(c)) for c in terms.categories)
+            / len(terms.categories)
+        )
         tells = terms.peers_allowed and terms.sidecars > 1 and (not terms.asking_allowed or heard <= asked)
         return tells, terms.asking_allowed and not tells
 
     def _questions(self, category: Category, crowd: float = 0.0) -> int:
         """How many upstreams it pays to ask."""
         mean = sum(c.payoff for c in self.terms.categories) / len(self.terms.categories)
-        most = 2 if self.terms.told_with_answers else 3
+        most = 4 if self.terms.told_with_answers else 3
         # Guards against work of little payoff, sent blindly, filling the lines of a crowded fleet.
-        gain = GAIN * (1 + crowd)
+        gain = GAIN * max(1.0, crowd)
         return min(most, int(gain * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
         asked: list[Upstream] = []
         good: list[Upstream] = []
+        late = self.terms.told_with_answers
         # Fresh figures are asked for one at a time, until one is free; of old ones, the first to answer is.
-        waiting, at_once = 0, 2 if self.terms.told_with_answers else 1
+        waiting, at_once, pause = 0, 2 if late else 1, due * stake / 8 if late else self.shortest / 32
         # Guards against asking on while the client's patience runs out.
         until = min(until, self.now + due * stake / 4)
-        while self.now < until and not any(self._load(u) < 1 for u in good):
+        while self.now < until and not (good and late) and not any(self._load(u) < 1 for u in good):
             if waiting < at_once and len(asked) < most:
                 u = self._draw(wi, [], due, stake, asked, full=True)
                 if u is not None:
@@ -406,20 +411,15 @@
                     waiting += 1
                     yield Probe(u)
                     continue
-            if not waiting or (good and self.terms.told_with_answers):
+            if not waiting:
                 break
-            last = len(asked) == most or self.terms.told_with_answers
-            event = yield Wait(until if last else min(until, self.now + self.shortest / 32))
+            event = yield Wait(until if len(asked) == most else min(until, self.now + pause))
             if event is GONE:
                 return GONE
             yield from self._tell()
-            waiting -= 1
-            if (
-                isinstance(event, Asked)
-                and event.fate is Fate.FINISHED
-                and self._listed_ready(event.upstream)
-            ):
-                # Guards against handing off to one that has left the list since it was asked.
+            # Guards against waiting for those that hang: the next are asked beside them.
+            waiting = 0 if event is None else waiting - 1
+            if isinstance(event, Asked) and event.fate is Fate.FINISHED and self._is_ready(event.upstream):
                 good.append(event.upstream)
         if not good:
             # Guards against a jam that never ends because each idle sidecar goes on sending into it: where
@@ -431,7 +431,8 @@
         fits = self._load(best) < LINE or self._expected(best, wi) < due * FIT * stake
         return best if fits else None
 
-    def _listed_ready(self, u: Upstream) -> bool:
+    def _is_ready(self, u: Upstream) -> bool:
+        """Guards against handing off to one that has left the list since it was asked."""
         return self.upstreams.get(u.address) is u and u.listing.condition is Condition.READY
 
     def _expected(self, u: Upstream, wi: WorkItem) -> float:
