--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -173,9 +173,9 @@
         self.tagged: dict[int, Upstream] = {}
         self.suspects: dict[Upstream, None] = {}
         self.may_tell, self.told_at = AT_ONCE, now
-        self.tells, self.asks = self._cheapest()
         self.bad, self.outcomes = 0.0, 1.0
         self.out = 0
+        self.tells, self.asks = self._cheapest()
 
     # The ordinary path.
 
@@ -389,7 +389,9 @@
     def _questions(self, category: Category, crowd: float = 0.0) -> int:
         """How many upstreams it pays to ask."""
         mean = sum(c.payoff for c in self.terms.categories) / len(self.terms.categories)
-        most = 4 if self.terms.told_with_answers else 3
+        most = 3
+        if self.terms.told_with_answers:
+            most = 2 if self._crowded() else 4
         # Guards against work of little payoff, sent blindly, filling the lines of a crowded fleet.
         gain = GAIN * max(1.0, crowd)
         return min(most, int(gain * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
