--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -409,6 +409,12 @@
             if waiting < at_once and len(asked) < most:
                 u = self._draw(wi, [], due, stake, asked, full=True)
                 if u is not None:
+                    if (
+                        u.report is not None
+                        and u.report[1] > self.now - self.shortest / 2
+                        and self._load(u) < 1
+                    ):
+                        return u  # as good as asked
                     asked.append(u)
                     waiting += 1
                     yield Probe(u)
