--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -88,6 +88,51 @@
     assert host.answers(wi) == ["deferred"] and not host.sent
 
 
+def test_where_questions_wait_in_line_no_answer_means_a_jam_and_a_prompt_deferral(make_host):
+    host = make_host(upstreams=8, told_with_answers=True, **ASKING)
+    wi = host.take(BUY)
+    host.later(0.15)
+    assert len(host.probes) == 4 and not host.answers(wi)
+    host.later(0.15)
+    assert host.answers(wi) == ["deferred"] and not host.sent
+
+
+def test_what_has_just_said_that_it_is_free_is_not_asked_again(make_host):
+    host = make_host(upstreams=1, told_with_answers=True, **ASKING)
+    first = host.take(BUY)
+    host.runner.probed("u0", Fate.FINISHED, 0.01, {"held": 0.0})
+    host.end(host.of(first)[0])
+    assert host.of(host.take(BUY)) and len(host.probes) == 1
+
+
+def test_a_peers_warning_keeps_exclusive_work_away_for_a_while(make_host):
+    host = make_host(sidecars=3, peers_allowed=True)
+    bad = host.runner.balancer.upstreams["u0"]
+    host.runner.heard(1, bad.tag.to_bytes(2, "big") + b"\xff")
+    host.serve(30, took=0.02, category=BUY)
+    assert bad not in {ho.upstream for ho in host.sent}
+    host.serve(30, took=0.02)
+    assert bad in {ho.upstream for ho in host.sent}
+    host.later(5.0)
+    host.serve(30, category=BUY)
+    assert bad in {ho.upstream for ho in host.sent[-30:]}
+
+
+def test_a_failed_hand_off_is_told_to_peers_once(make_host):
+    host = make_host(upstreams=1, sidecars=3, peers_allowed=True)
+    for _ in range(2):
+        host.end(host.of(host.take())[0], Fate.ERROR)
+    assert sum(body[2] == 255 for body in host.told if body) == 1
+
+
+def test_warnings_of_all_upstreams_leave_exclusive_work_somewhere_to_go(make_host):
+    host = make_host(sidecars=3, peers_allowed=True)
+    host.take()
+    for u in host.runner.balancer.upstreams.values():
+        host.runner.heard(1, u.tag.to_bytes(2, "big") + b"\xff")
+    assert host.of(host.take(BUY))
+
+
 def test_what_knowing_would_not_pay_for_is_not_asked(make_host):
     host = make_host(**(ASKING | {"asking_price": 0.05}))
     cheap, dear = host.take(LOOK), host.take(BUY)
