--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -286,7 +286,7 @@
 
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
-        ready = len(self.near) + len(self.far)
+        ready = self._ready()
         elsewhere = sum(self.counted.values()) if self._peers_heard() else self._mean_elsewhere() * ready
         return elsewhere + self.out > LINE * 2 / 3 * ready
 
@@ -363,6 +363,10 @@
             return None
         return self.chance.choices([c[0] for c in choice], [c[1] for c in choice])[0]
 
+    def _ready(self) -> int:
+        self._plan_afresh()
+        return len(self.near) + len(self.far)
+
     def _plan_afresh(self) -> None:
         if self.stale_plan:
             self.stale_plan = False
@@ -402,10 +406,12 @@
         good: list[Upstream] = []
         late = self.terms.told_with_answers
         # Fresh figures are asked for one at a time, until one is free; of old ones, the first to answer is.
+        # In a crowded fleet none is free: one with less than the others have is enough.
+        enough = max(1.0, self._mean_elsewhere())
         waiting, at_once, pause = 0, 2 if late else 1, due * stake / 8 if late else self.shortest / 32
         # Guards against asking on while the client's patience runs out.
         until = min(until, self.now + due * stake / 4)
-        while self.now < until and not (good and late) and not any(self._load(u) < 1 for u in good):
+        while self.now < until and not (good and late) and not any(self._load(u) < enough for u in good):
             if waiting < at_once and len(asked) < most:
                 u = self._draw(wi, [], due, stake, asked, full=True)
                 if u is not None:
@@ -568,7 +574,7 @@
         for old in [s for s in self.suspects if not self._suspect(s)]:
             del self.suspects[old]
         # Guards against a fault common to all leaving nobody to send to.
-        if u is not None and 2 * len(self.suspects) < len(self.near) + len(self.far):
+        if u is not None and 2 * len(self.suspects) < self._ready():
             u.warned_at = self.now
             self.suspects[u] = None
 
@@ -578,7 +584,7 @@
 
     def _note(self, u: Upstream, bad: bool) -> None:
         self.bad, self.outcomes = self.bad + bad, self.outcomes + 1
-        if self.outcomes > 8 * max(len(self.near) + len(self.far), 1):
+        if self.outcomes > 8 * max(self._ready(), 1):
             self.bad, self.outcomes = self.bad / 2, self.outcomes / 2
         if not bad:
             u.failures = 0
