--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -410,7 +410,8 @@
         enough = max(1.0, self._mean_elsewhere())
         waiting, at_once, pause = 0, 2 if late else 1, due * stake / 8 if late else self.shortest / 32
         # Guards against asking on while the client's patience runs out.
-        until = min(until, self.now + due * stake / 4)
+        # Guards against lines that grow until the upstreams choke: a crowded one must answer sooner.
+        until = min(until, self.now + due * stake / (8 if self._crowded() else 4))
         while self.now < until and not (good and late) and not any(self._load(u) < enough for u in good):
             if waiting < at_once and len(asked) < most:
                 u = self._draw(wi, [], due, stake, asked, full=True)
