--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -387,7 +387,9 @@
             * sum(min(2, self._questions(c)) for c in terms.categories)
             / len(terms.categories)
         )
-        tells = terms.peers_allowed and terms.sidecars > 1 and (not terms.asking_allowed or heard <= asked)
+        # Where reports are old, answers tell little of the lines, and counts may cost more.
+        most = 1.5 * GAIN if terms.told_with_answers or not terms.asking_allowed else asked
+        tells = terms.peers_allowed and terms.sidecars > 1 and heard <= most
         return tells, terms.asking_allowed and not tells
 
     def _questions(self, category: Category, crowd: float = 0.0) -> int:
@@ -410,8 +412,7 @@
         enough = max(1.0, self._mean_elsewhere())
         waiting, at_once, pause = 0, 2 if late else 1, due * stake / 8 if late else self.shortest / 32
         # Guards against asking on while the client's patience runs out.
-        # Guards against lines that grow until the upstreams choke: a crowded one must answer sooner.
-        until = min(until, self.now + due * stake / (8 if self._crowded() else 4))
+        until = min(until, self.now + due * stake / 4)
         while self.now < until and not (good and late) and not any(self._load(u) < enough for u in good):
             if waiting < at_once and len(asked) < most:
                 u = self._draw(wi, [], due, stake, asked, full=True)
