--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -66,7 +66,7 @@
 COUNT = 3  # bytes that a peer's count takes
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
 WARNING = 255  # told in place of a count: the upstream has failed a hand-off
-HEARD = 256.0  # messages heard from all peers in the shortest due time, at most
+HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
 AT_ONCE = 4.0  # messages told without a pause
 
 
