--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -177,6 +177,26 @@
     assert host.answers(wi) == ["deferred"] and not host.sent
 
 
+def test_an_answer_from_an_upstream_no_longer_listed_still_counts(host):
+    wi = host.take()
+    host.listed(News.CHANGES, *host.names, condition=Condition.GONE)
+    host.end(host.of(wi)[0], report={"held": 3.0})
+    assert host.answers(wi) == ["finished"] and host.answers(host.take()) == ["deferred"]
+
+
+def test_in_a_crowded_fleet_work_of_little_payoff_asks_too(make_host):
+    host = make_host(**(ASKING | {"asking_price": 0.03}))
+    host.take(LOOK)
+    assert not host.probes
+    for _ in range(4):
+        host.take(BUY)
+        for u in host.probes[-3:]:
+            host.runner.probed(u.address, Fate.FINISHED, 0.01, {"held": 6.0})
+    before = len(host.probes)
+    host.take(LOOK)
+    assert len(host.probes) == before + 1
+
+
 @pytest.mark.parametrize("upstreams", [1, 400])
 def test_a_list_of_any_length_is_used(make_host, upstreams):
     host = make_host(upstreams=upstreams, sidecars=100_000)
