--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -53,7 +53,7 @@
 UNLEARNED = 4.0  # times the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
-LINE = 2.0  # work items at an upstream of mean size past which more would only wait, or make it choke
+LINE = 2.5  # work items at an upstream of mean size past which more would only wait, or make it choke
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
 TRUSTED = 4  # hand-offs at a time at which the trickle ends
@@ -157,6 +157,7 @@
         self.near: list[Upstream] = []
         self.far: list[Upstream] = []
         self.shortest = min(c.due_time for c in terms.categories)
+        self.longest = max(c.due_time for c in terms.categories)
         self.best_payoff = max(c.payoff for c in terms.categories)
         self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
@@ -487,10 +488,13 @@
         return self.heard_at > self.now - self.shortest
 
     def _forget_old_counts(self) -> None:
-        """Guards against counting for ever what a killed or cut-off sidecar last had out."""
+        """Guards against counting for ever what a killed or cut-off sidecar last had out.
+
+        As long as a hand-off can be out its count stands: where an upstream hangs it is all there is to see.
+        """
         while self.told:
             (peer, tag), (at, n) = next(iter(self.told.items()))
-            if at > self.now - self.shortest:
+            if at > self.now - self.longest:
                 return
             del self.told[peer, tag]
             self.counted[tag] -= n
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -166,6 +166,16 @@
     assert host.answers(full) == ["deferred"] and host.of(host.take())
 
 
+def test_a_count_stands_as_long_as_the_hand_off_can_be_out(make_host):
+    slow = type(LOOK)("slow", LOOK.effect, due_time=4.0, payoff=1.0, expiry=8.0)
+    host = make_host(upstreams=1, categories=[LOOK, slow], sidecars=3, peers_allowed=True)
+    host.runner.heard(1, host.runner.balancer.upstreams["u0"].tag.to_bytes(2, "big") + b"\x64")
+    host.later(1.9)
+    host.runner.heard(2, bytes(3))
+    host.take(slow)
+    assert host.answers(host.take(slow)) == ["deferred"]
+
+
 def test_word_of_an_upstream_no_longer_listed_harms_nothing(make_host):
     host = make_host(**ASKING)
     wi = host.take(BUY)
