Tidy: one decay, one mean with its doubt, telling or asking from the settings alone

The decay of what was seen stood three times, the mean with its doubt and the relative time of an upstream twice; the choice between telling and asking read the live load at the start, which had once failed it; tags were kept apart from the list and never pruned, and our own warnings went by tag. They are now derived with the plan: a warning of an upstream that has left the list marks nothing any more. Near ones are sorted out once a draw.

--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -63,6 +63,7 @@
 STALE = 4.0  # shortest due times by which what was seen counts half
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
+LONGEST = 256  # bytes that a message holds, and that its price is for
 COUNT = 3  # bytes that a peer's count takes
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
 WARNING = 255  # told in place of a count: the upstream has failed a hand-off
@@ -75,11 +76,11 @@
 
     __slots__ = ("base", "growth", "bins", "total", "most", "halved")
 
-    def __init__(self, base: float, growth: float, bins: int, most: int) -> None:
+    def __init__(self, base: float, growth: float, bins: int, most: int, now: float = 0.0) -> None:
         self.base, self.growth, self.most = base, growth, most
         self.bins = [0.0] * bins
         self.total = 0.0
-        self.halved = 0.0
+        self.halved = now
 
     def add(self, value: float) -> None:
         i, edge = 0, self.base
@@ -102,9 +103,11 @@
                 self.halve(min(times, 64))
         return self
 
-    def mean(self) -> float:
+    def mean(self, prior: float, doubt: float) -> float:
+        """Of what was seen and of `doubt` more values at `prior`."""
         middle = self.base / self.growth**0.5
-        return sum(n * middle * self.growth**i for i, n in enumerate(self.bins)) / self.total
+        seen = sum(n * middle * self.growth**i for i, n in enumerate(self.bins))
+        return (doubt * prior + seen) / (doubt + self.total)
 
     def percentile(self, share: float) -> float:
         left, edge = share * self.total, self.base
@@ -158,7 +161,9 @@
         self.far: list[Upstream] = []
         self.shortest = min(c.due_time for c in terms.categories)
         self.longest = max(c.due_time for c in terms.categories)
+        self.renewal = 2 * STALE * self.shortest
         self.best_payoff = max(c.payoff for c in terms.categories)
+        self.mean_payoff = sum(c.payoff for c in terms.categories) / len(terms.categories)
         self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
         self.patience = {c: 0.0 for c in terms.categories}
@@ -186,7 +191,7 @@
         handed: list[HandOff] = []
         copies, delays = 0, 1
         wanted = True
-        questions = self._questions(wi.category, self._mean_elsewhere()) if self.asks else 0
+        questions = self._questions(wi.category)
         while True:
             if wanted:
                 if questions and not handed:
@@ -254,9 +259,9 @@
         due = cat.due_time + cat.stretch * wi.cost
         stake = (cat.payoff / self.best_payoff) ** LESS
         if wi.customer is not None:
-            aged = 0.5 ** ((self.now - self.asked_until) / STALE / self.shortest)
+            faded = self._faded(self.asked_until)
             self.asked_until = self.now
-            self.asked = {customer: n * aged for customer, n in self.asked.items()}
+            self.asked = {customer: n * faded for customer, n in self.asked.items()}
             self.asked[wi.customer] += not wi.repeat
             if self.chance.random() < self._excess(wi.customer):
                 stake *= self.terms.over_share_payoff**0.5
@@ -336,11 +341,12 @@
         self._plan_afresh()
         self._forget_old_counts()
         choice: list[tuple[Upstream, float, float]] = []
-        for pool in (self.near, self.far):
+        for side in (self.near, self.far):
+            pool = side
             if kind is Group.ZONE:
-                pool = [u for u in pool if u.listing.zone == risky.zone]
+                pool = [u for u in side if u.listing.zone == risky.zone]
             elif kind is Group.CELL:
-                pool = [u for u in pool if u.listing.cell == risky.cell]
+                pool = [u for u in side if u.listing.cell == risky.cell]
             looked = self.chance.sample(pool, LOOKS) if len(pool) > LOOKS else pool
             for u in looked:
                 if u in used:
@@ -348,7 +354,7 @@
                 if not self._trusted(u, wi) or not self._within_cold_budget(u):
                     continue
                 load = self._load(u)
-                relative = self._slowness(u) * self._small(u)
+                relative = self._relative(u)
                 expected = typical * relative * (1 + load)
                 line = LINE * max(1.0, 1 / self._small(u)) ** 0.5
                 # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
@@ -357,7 +363,7 @@
                     continue
                 weight = self._warmth(u) / ((1 + load) * relative) * len(pool) / len(looked)
                 choice.append((u, weight, expected))
-            if near := [c for c in choice if c[0].listing.zone == self.terms.zone and c[2] <= near_enough]:
+            if side is self.near and (near := [c for c in choice if c[2] <= near_enough]):
                 choice = near
                 break
         if not choice:
@@ -373,6 +379,7 @@
             self.stale_plan = False
             every = sorted(self.upstreams.values(), key=lambda u: u.address)
             ready = [u for u in every if u.listing.condition is Condition.READY]
+            self.tagged = {u.tag: u for u in self.upstreams.values()}
             self.near = [u for u in ready if u.listing.zone == self.terms.zone]
             self.far = [u for u in ready if u.listing.zone != self.terms.zone]
             self.mean_size = sum(u.listing.size for u in every) / len(every) if every else 1.0
@@ -382,26 +389,28 @@
     def _cheapest(self) -> tuple[bool, bool]:
         """Whether peers tell each other of every hand-off, or the first two of a plan are asked."""
         terms = self.terms
-        heard = 2 * MESSAGE * (terms.sidecars - 1) / 256 * terms.telling_price
-        asked = (
-            terms.asking_price
-            * sum(min(2, self._questions(c)) for c in terms.categories)
-            / len(terms.categories)
-        )
+        heard = 2 * MESSAGE * (terms.sidecars - 1) / LONGEST * terms.telling_price
+        questions = sum(min(2, self._paid_for(c)) for c in terms.categories) / len(terms.categories)
+        asked = terms.asking_price * questions
         # Where reports are old, answers tell little of the lines, and counts may cost more.
         most = 1.5 * GAIN if terms.told_with_answers or not terms.asking_allowed else asked
         tells = terms.peers_allowed and terms.sidecars > 1 and heard <= most
         return tells, terms.asking_allowed and not tells
 
-    def _questions(self, category: Category, crowd: float = 0.0) -> int:
-        """How many upstreams it pays to ask."""
-        mean = sum(c.payoff for c in self.terms.categories) / len(self.terms.categories)
+    def _paid_for(self, category: Category, crowd: float = 0.0) -> int:
+        """How many questions what is known by them pays for."""
+        # Guards against work of little payoff, sent blindly, filling the lines of a crowded fleet.
+        gain = GAIN * max(1.0, crowd)
+        return int(gain * category.payoff / self.mean_payoff / max(self.terms.asking_price, 1e-9))
+
+    def _questions(self, category: Category) -> int:
+        """How many upstreams are asked, at most."""
+        if not self.asks:
+            return 0
         most = 3
         if self.terms.told_with_answers:
             most = 2 if self._crowded() else 4
-        # Guards against work of little payoff, sent blindly, filling the lines of a crowded fleet.
-        gain = GAIN * max(1.0, crowd)
-        return min(most, int(gain * category.payoff / mean / max(self.terms.asking_price, 1e-9)))
+        return min(most, self._paid_for(category, self._mean_elsewhere()))
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan; the one that is free soonest gets the work item."""
@@ -418,11 +427,8 @@
             if waiting < at_once and len(asked) < most:
                 u = self._draw(wi, [], due, stake, asked, full=True)
                 if u is not None:
-                    if (
-                        u.report is not None
-                        and u.report[1] > self.now - self.shortest / 2
-                        and self._load(u) < 1
-                    ):
+                    fresh = u.report is not None and u.report[1] > self.now - self.shortest / 2
+                    if fresh and self._load(u) < 1:
                         return u  # as good as asked
                     asked.append(u)
                     waiting += 1
@@ -441,9 +447,9 @@
         if not good:
             # Guards against a jam that never ends because each idle sidecar goes on sending into it: where
             # questions wait in line, no answer means that the lines are too long.
-            return None if self.terms.told_with_answers else self._draw(wi, [], due, stake, asked)
+            return None if late else self._draw(wi, [], due, stake, asked)
         best = min(good, key=lambda u: self._expected(u, wi))
-        if self.terms.told_with_answers:
+        if late:
             return best
         fits = self._load(best) < LINE or self._expected(best, wi) < due * FIT * stake
         return best if fits else None
@@ -453,7 +459,7 @@
         return self.upstreams.get(u.address) is u and u.listing.condition is Condition.READY
 
     def _expected(self, u: Upstream, wi: WorkItem) -> float:
-        return self._typical(wi.category) * self._slowness(u) * self._small(u) * (1 + self._load(u))
+        return self._typical(wi.category) * self._relative(u) * (1 + self._load(u))
 
     def _tell(self) -> Steps:
         """Tell the peers what has changed of what we have out, within our part of what each may hear."""
@@ -468,15 +474,17 @@
             told += [(u.tag, min(len(u.pending), WARNING - 1)) for u in self.untold]
             self.unwarned.clear()
             self.untold.clear()
-            yield Tell(b"".join(tag.to_bytes(2, "big") + bytes([n]) for tag, n in told[: 256 // COUNT]))
+            yield Tell(b"".join(tag.to_bytes(2, "big") + bytes([n]) for tag, n in told[: LONGEST // COUNT]))
 
     def heard(self, peer: int, body: bytes) -> None:
         if not 0 <= peer < self.terms.sidecars:
             return
+        self._plan_afresh()
         for i in range(0, len(body) - COUNT + 1, COUNT):
             tag, n = int.from_bytes(body[i : i + 2], "big"), body[i + 2]
             if n == WARNING:
-                self._warned(tag)
+                if u := self.tagged.get(tag):
+                    self._warned(u)
                 continue
             _, before = self.told.pop((peer, tag), (0.0, 0))
             if n:
@@ -500,14 +508,16 @@
             self.counted[tag] -= n
 
     def _typical(self, category: Category) -> float:
-        seen = self.typical[category].aged(self.now, 2 * STALE * self.shortest)
-        prior = self.shortest / 8
-        return (4 * prior + (seen.mean() * seen.total if seen.total else 0.0)) / (4 + seen.total)
+        return self.typical[category].aged(self.now, self.renewal).mean(prior=self.shortest / 8, doubt=4)
 
     def _small(self, u: Upstream) -> float:
         """How many of it make one of mean size."""
         return self.mean_size / max(u.listing.size, 1e-9)
 
+    def _relative(self, u: Upstream) -> float:
+        """Its times against those of a usual upstream of mean size."""
+        return self._slowness(u) * self._small(u)
+
     def _load(self, u: Upstream) -> float:
         return self._elsewhere(u) + len(u.pending)
 
@@ -523,23 +533,25 @@
 
     def _mean_elsewhere(self) -> float:
         """Guards against a mean that feeds on itself: only what was reported counts, and less with age."""
-        aged = 0.5 ** ((self.now - self.reported_at) / STALE / self.shortest)
-        return self.reported * aged / (0.5 + self.reports * aged)
+        faded = self._faded(self.reported_at)
+        return self.reported * faded / (0.5 + self.reports * faded)
+
+    def _faded(self, since: float) -> float:
+        """What is left of the weight of something seen then."""
+        return 0.5 ** ((self.now - since) / STALE / self.shortest)
 
     def _read(self, u: Upstream, report: dict[str, float]) -> None:
         for figure in ("held", "waiting", "busy"):
             if figure in report:
-                aged = 0.5 ** ((self.now - self.reported_at) / STALE / self.shortest)
-                self.reported = self.reported * aged + report[figure]
-                self.reports, self.reported_at = self.reports * aged + 1, self.now
+                faded = self._faded(self.reported_at)
+                self.reported = self.reported * faded + report[figure]
+                self.reports, self.reported_at = self.reports * faded + 1, self.now
                 u.report = (report[figure], self.now)
                 return
 
     def _slowness(self, u: Upstream) -> float:
         """Its times against those of its like; two answers' weight of doubt."""
-        if u.pace is None or not u.pace.aged(self.now, 2 * STALE * self.shortest).total:
-            return 1.0
-        return (2 + u.pace.mean() * u.pace.total) / (2 + u.pace.total)
+        return 1.0 if u.pace is None else u.pace.aged(self.now, self.renewal).mean(prior=1.0, doubt=2)
 
     def _relief(self, wi: WorkItem) -> float:
         # Guards against clients deferred together coming back together.
@@ -571,16 +583,15 @@
         expected = self._typical(ho.wi.category) * (1 + ho.load)
         return self.now - max(ho.sent, ho.upstream.answered) - SILENT * expected
 
-    def _warned(self, tag: int) -> None:
-        """A peer's hand-off has failed there.
+    def _warned(self, u: Upstream) -> None:
+        """A hand-off has failed there, ours or a peer's.
 
         Guards against each of hundreds of quiet sidecars having to find out for itself.
         """
-        u = self.tagged.get(tag)
         for old in [s for s in self.suspects if not self._suspect(s)]:
             del self.suspects[old]
         # Guards against a fault common to all leaving nobody to send to.
-        if u is not None and 2 * len(self.suspects) < self._ready():
+        if 2 * len(self.suspects) < self._ready():
             u.warned_at = self.now
             self.suspects[u] = None
 
@@ -629,7 +640,7 @@
                 known = self.now < u.warned_at + self.shortest
                 if self.terms.peers_allowed and outcome.fate is not Fate.UNREACHED and not known:
                     self.unwarned[u] = None
-                    self._warned(u.tag)
+                    self._warned(u)
             case Fate.CANCELLED | Fate.OVERDUE:
                 if self._silence(ho) > 0:
                     self._note(u, bad=True)
@@ -638,8 +649,7 @@
         u, cat = ho.upstream, ho.wi.category
         each = took / ((1 + ho.load) * self._small(u))
         if u.pace is None:
-            u.pace = Histogram(0.25, 2.0, 7, 24)
-            u.pace.halved = self.now
+            u.pace = Histogram(0.25, 2.0, 7, 24, self.now)
         u.pace.add(each / self._typical(cat))
         self.typical[cat].add(each)
         self.latency.add(took / self._typical(cat))
@@ -685,8 +695,7 @@
             elif known := self.upstreams.get(entry.address):
                 known.update(entry, self.now)
             else:
-                u = self.upstreams[entry.address] = Upstream(entry, self.now)
-                self.tagged[u.tag] = u
+                self.upstreams[entry.address] = Upstream(entry, self.now)
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
         u = self.upstreams.get(address)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -74,6 +74,9 @@
         for other in [other for other in self.cancelled if other.pending]:
             self.end(other, Fate.CANCELLED)
 
+    def hears(self, peer, u, count):
+        self.runner.heard(peer, u.tag.to_bytes(2, "big") + bytes([count]))
+
     def of(self, wi):
         return [ho for ho in self.sent if ho.wi is wi]
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -108,7 +108,7 @@
 def test_a_peers_warning_keeps_exclusive_work_away_for_a_while(make_host):
     host = make_host(sidecars=3, peers_allowed=True)
     bad = host.runner.balancer.upstreams["u0"]
-    host.runner.heard(1, bad.tag.to_bytes(2, "big") + b"\xff")
+    host.hears(1, bad, 255)
     host.serve(30, took=0.02, category=BUY)
     assert bad not in {ho.upstream for ho in host.sent}
     host.serve(30, took=0.02)
@@ -129,7 +129,7 @@
     host = make_host(sidecars=3, peers_allowed=True)
     host.take()
     for u in host.runner.balancer.upstreams.values():
-        host.runner.heard(1, u.tag.to_bytes(2, "big") + b"\xff")
+        host.hears(1, u, 255)
     assert host.of(host.take(BUY))
 
 
@@ -156,8 +156,7 @@
 
 def test_a_silent_peers_counts_are_dropped(make_host):
     host = make_host(upstreams=1, sidecars=3, peers_allowed=True)
-    tag = host.runner.balancer.upstreams["u0"].tag.to_bytes(2, "big")
-    host.runner.heard(1, tag + b"\x64")
+    host.hears(1, host.runner.balancer.upstreams["u0"], 100)
     ahead = host.take()
     full = host.take()
     host.end(host.of(ahead)[0])
@@ -169,7 +168,7 @@
 def test_a_count_stands_as_long_as_the_hand_off_can_be_out(make_host):
     slow = type(LOOK)("slow", LOOK.effect, due_time=4.0, payoff=1.0, expiry=8.0)
     host = make_host(upstreams=1, categories=[LOOK, slow], sidecars=3, peers_allowed=True)
-    host.runner.heard(1, host.runner.balancer.upstreams["u0"].tag.to_bytes(2, "big") + b"\x64")
+    host.hears(1, host.runner.balancer.upstreams["u0"], 100)
     host.later(1.9)
     host.runner.heard(2, bytes(3))
     host.take(slow)
