--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -489,7 +489,7 @@
             _, before = self.told.pop((peer, tag), (0.0, 0))
             if n:
                 self.told[peer, tag] = (self.now, n)
-            self.counted[tag] = self.counted.get(tag, 0) + n - before
+            self._count(tag, n - before)
             self.heard_at = self.now
 
     def _peers_heard(self) -> bool:
@@ -505,7 +505,11 @@
             if at > self.now - self.longest:
                 return
             del self.told[peer, tag]
-            self.counted[tag] -= n
+            self._count(tag, -n)
+
+    def _count(self, tag: int, change: int) -> None:
+        if count := self.counted.pop(tag, 0) + change:
+            self.counted[tag] = count
 
     def _typical(self, category: Category) -> float:
         return self.typical[category].aged(self.now, self.renewal).mean(prior=self.shortest / 8, doubt=4)
--- a/starlingwheel/net/actor.py
+++ b/starlingwheel/net/actor.py
@@ -6,6 +6,7 @@
 from collections.abc import Generator
 from math import inf
 from typing import Any, TypeVar
+from weakref import ref
 
 from .loop import Loop
 
@@ -24,6 +25,7 @@
         self.queued = self.ended = False
         self.until = self.armed = inf
         self.coroutine = self.run()
+        self.ref = ref(self)
 
     def run(self) -> Coroutine[None]:
         raise NotImplementedError
--- a/starlingwheel/net/loop.py
+++ b/starlingwheel/net/loop.py
@@ -14,10 +14,12 @@
 from dataclasses import dataclass
 from math import inf
 from typing import TYPE_CHECKING
+from weakref import ref
 
 if TYPE_CHECKING:
     from .actor import Actor
 
+INPUT = select.EPOLLIN
 READ = select.EPOLLIN | select.EPOLLRDHUP
 HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 WRITE = select.EPOLLOUT
@@ -44,7 +46,8 @@
         self.watched: dict[int, Actor] = {}
         self.ready: deque[Actor] = deque()
         self.urgent: deque[Actor] = deque()
-        self.timers: list[tuple[float, int, Actor]] = []
+        # Held weakly: guards against what has ended being kept until the last of its timers is due.
+        self.timers: list[tuple[float, int, ref[Actor]]] = []
         self.count = 0
         self.running = False
         self.latest = 0.0
@@ -107,9 +110,9 @@
         # Guards against one that waits until what is past, over and over, stopping all others: once a turn.
         due = []
         while self.timers and self.timers[0][0] <= now:
-            _, _, actor = heapq.heappop(self.timers)
-            actor.armed = inf
-            due.append(actor)
+            if (actor := heapq.heappop(self.timers)[2]()) is not None and not actor.ended:
+                actor.armed = inf
+                due.append(actor)
         for actor in due:
             if actor.mailbox:
                 continue  # its mail goes first; it says anew until when it waits
@@ -145,7 +148,7 @@
         if not actor.ended and actor.until < actor.armed:
             actor.armed = actor.until
             self.count += 1
-            heapq.heappush(self.timers, (actor.until, self.count, actor))
+            heapq.heappush(self.timers, (actor.until, self.count, actor.ref))
 
     def queue(self, actor: Actor) -> None:
         if not actor.queued and not actor.ended:
--- a/starlingwheel/net/wire/http.py
+++ b/starlingwheel/net/wire/http.py
@@ -117,6 +117,7 @@
             self.loop.forget(self.sock.fileno())
         self.unwritten = []
         self.sock.close()
+        self.actor = None  # guards against the two holding each other until a collection
 
 
 def connect(address: str) -> socket.socket:
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -13,7 +14,7 @@
 from ...decisions.terms import Fate
 from ...settings import REPORTED
 from ..actor import Actor, Coroutine
-from ..loop import READ, WRITE, Ready
+from ..loop import INPUT, READ, WRITE, Ready
 from ..mail import CLOSE, Carry, Closed, Drop, Ended, Free, Moved
 from ..memory.buffers import LONGEST_BODY, Body, Exhausted
 from ..memory.work import Answer, Errand
@@ -24,6 +25,8 @@
 
 EARLY = 0.8  # part of the time after which an upstream closes an idle connection, at which we do
 LONGEST_REPORT = 512
+FIGURE = re.compile(r"\d{1,9}(\.\d{1,9})?")
+BEGINNING = b"HTTP/1."
 End = tuple[Fate, dict[str, float], Answer | None]  # how an errand ended
 HOP_BY_HOP = {
     b"connection", b"keep-alive", b"te", b"trailer", b"transfer-encoding", b"upgrade", b"expect",
@@ -32,18 +35,33 @@
 
 
 def figures(text: str) -> dict[str, float]:
-    """The figures of a load report that the decisions know. One that can't be read is dropped."""
-    report = {}
+    """The figures of a load report that the decisions know. One that can't be read is dropped whole."""
+    report: dict[str, float] = {}
+    if len(text) > LONGEST_REPORT:
+        return {}
     for pair in text.strip().removeprefix("TEXT").split(","):
         name, _, value = pair.strip().partition("=")
-        try:
-            if (ours := REPORTED.get(name)) and float(value) >= 0:
-                report[ours] = float(value)
-        except ValueError:
-            return {}
+        if ours := REPORTED.get(name):
+            # Guards against words, signs, infinities and figures said twice getting into the decisions.
+            if ours in report or not FIGURE.fullmatch(value):
+                return {}
+            report[ours] = float(value)
     return report
 
 
+def framed(response: h11.Response) -> None:
+    """Raises `Lost` for an answer whose end can not be told, or that is too long to pass on.
+
+    An answer that ends with its connection is none either: nobody could tell it from one that was cut short.
+    """
+    lengths = [value for name, value in response.headers if name == b"content-length"]
+    chunked = any(name == b"transfer-encoding" for name, _ in response.headers)
+    if len(lengths) + chunked != 1:
+        raise Lost("unframed")
+    if lengths and int(lengths[0]) > LONGEST_BODY:
+        raise Lost("answer-too-long")
+
+
 class Upstream(Actor):
     """Gives errands to its connections: the one used last first, a new one when none is idle."""
 
@@ -187,15 +205,20 @@
 
     def _exchange(self) -> Coroutine[End]:
         errand, stream = self.errand, self.stream
+        if self.carried and not stream.silent():
+            # Guards against what came behind the last answer being taken for the next one.
+            raise Lost("unasked-bytes")
         self._put(errand)
         while not stream.write():
-            stream.want(WRITE)
-            yield from self._await(errand.until, "overdue")
+            stream.want(READ | WRITE)
+            if (yield from self._await(errand.until, "overdue")).mask & INPUT:
+                # Guards against an answer to something else: nobody can have made this one.
+                raise Lost("early-answer")
         errand.written = True
         stream.want(READ)
         response = yield from self._answer(errand)
         headers = dict(response.headers)
-        report = self._report(headers, errand)
+        report = self._report(response.headers, errand)
         if stream.http.our_state is h11.DONE and stream.http.their_state is h11.DONE:
             stream.http.start_next_cycle()
             if stream.http.trailing_data[0]:
@@ -233,6 +256,7 @@
             event = self.stream.event()
             if isinstance(event, h11.Response):
                 response = event
+                framed(response)
             elif isinstance(event, h11.Data):
                 if self.body.length + len(event.data) > LONGEST_BODY:
                     raise Lost("answer-too-long")
@@ -245,6 +269,10 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise Lost("upstream-closed")
             elif event is h11.NEED_DATA:
+                begun = self.stream.http.trailing_data[0]
+                if response is None and not begun.startswith(BEGINNING[: len(begun)]):
+                    # Guards against waiting for the end of a head in noise that has no line in it.
+                    raise Lost("malformed")
                 yield from self._await(errand.until, "overdue")
                 self.stream.read()
 
@@ -255,9 +283,10 @@
             return Fate.TURNED_DOWN
         return Fate.ERROR
 
-    def _report(self, headers: dict[bytes, bytes], errand: Errand) -> dict[str, float]:
-        text = headers.get(b"endpoint-load-metrics", b"").decode("latin-1")
-        if not text and errand.job is None and self.body.length <= LONGEST_REPORT:
+    def _report(self, headers: Any, errand: Errand) -> dict[str, float]:
+        texts = [value for name, value in headers if name == b"endpoint-load-metrics"]
+        text = texts[0].decode("latin-1") if len(texts) == 1 else ""
+        if not texts and errand.job is None and self.body.length <= LONGEST_REPORT:
             text = b"".join(self.body.views()).decode("latin-1")
         return figures(text) if text else {}
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -384,8 +384,9 @@
 
     got = []
     loop = Loop(lambda actor, error: pytest.fail(repr(error)))
-    for kind in (Hasty, Patient):
-        kind(loop).begin()
+    actors = [Hasty(loop), Patient(loop)]
+    for actor in actors:
+        actor.begin()
     for _ in range(3):
         loop.turn()
     assert got == [None]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -117,6 +117,11 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nnine\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000,
         b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nends with its connection",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nfour",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nfour",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nfour",
     ],
 )
 def test_an_answer_that_is_not_whole_is_none_and_exclusive_work_is_not_sent_again(make_surroundings, cut):
@@ -130,6 +135,61 @@
     around.quiet(1 - i)
 
 
+@pytest.mark.parametrize(
+    ("spoilt", "reason"),
+    [
+        (b"\x00\xff noise", "malformed"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nx", "answer-too-long"),
+        (b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 4000, "malformed"),
+    ],
+)
+def test_a_spoilt_answer_is_seen_at_its_head_though_its_connection_stays_open(around, spoilt, reason):
+    client = around.ask("buy", b"one")
+    upstream = around.accept()
+    around.received(upstream)
+    begun = time.monotonic()
+    upstream.sendall(spoilt)
+    assert around.status(client) == 504 and time.monotonic() - begun < 0.5
+    assert around.logged("upstream.end")[0]["reason"] == reason
+
+
+def test_words_ahead_of_an_answer_are_passed_over(around):
+    client = around.ask("buy", b"one")
+    upstream = around.accept()
+    around.received(upstream)
+    upstream.sendall(b"HTTP/1.1 100 x\r\n\r\n" + b"HTTP/1.1 103 x\r\nLink: y\r\n\r\n" * 3)
+    around.let_pass(0.02)
+    around.reply(upstream, body=b"two")
+    assert around.answer(client)[1] == b"two"
+
+
+def test_what_came_behind_an_answer_is_not_taken_for_the_next(around, monkeypatch):
+    client = around.client()
+    client.sendall(around.request("buy", b"one"))
+    upstream = around.accept()
+    around.received(upstream)
+    around.reply(upstream, body=b"first")
+    assert around.answer(client)[1] == b"first"
+    monkeypatch.setattr(Connection, "usable", lambda _: True)  # it comes after that look
+    around.until(around.node.ledger.longest_idle)
+    around.reply(upstream, body=b"copy")
+    client.sendall(around.request("buy", b"two"))
+    around.serve(body=b"second")
+    assert around.answer(client)[1] == b"second"
+
+
+def test_an_answer_that_begins_before_its_request_is_written_is_none(make_surroundings):
+    around = make_surroundings(upstreams=2)
+    client = around.ask("buy", b"x" * LONGEST_BODY)
+    i, upstream = around.until(around.accept_any)
+    carrying = around.until(lambda: next(iter(around.node.ledger.upstream), None))
+    carrying.stream.unwritten.append(b"more" * 4000000)  # more than the kernel takes
+    around.reply(upstream)
+    assert around.until(lambda: around.logged("upstream.end"))[0]["reason"] == "early-answer"
+    around.serve(1 - i, body=b"fine")
+    assert around.answer(client)[1] == b"fine"
+
+
 @pytest.mark.parametrize(("status", "extra"), [(500, ""), (503, ""), (400, "X-Never-Ran: 1\r\n")])
 def test_an_error_that_may_have_run_is_never_turned_into_a_refusal(around, status, extra):
     client = around.ask("buy", b"one")
@@ -472,7 +532,13 @@
     assert around.status(client) == 200
 
 
-@pytest.mark.parametrize("text", ["TEXT inflight=x", "inflight", "TEXT util=", "{}", "TEXT inflight=-1"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        *["TEXT inflight=x", "inflight", "TEXT util=", "{}", "TEXT inflight=-1", "TEXT inflight=inf"],
+        *["TEXT inflight=1e300", "inflight=nan", "inflight=1, inflight=2", "inflight=" + "9" * 400],
+    ],
+)
 def test_a_load_report_that_can_not_be_read_is_dropped(text):
     assert figures(text) == {}
     assert figures("TEXT inflight=7, queue=2, other=3") == {"held": 7.0, "waiting": 2.0}
