--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 from collections.abc import Mapping
+from math import inf
 
 import msgspec
 
@@ -45,6 +46,7 @@
         self.pool = Pool(int(config.limits.memory_mb * BUFFERS * 2**20 / SIZE))
         self.ledger = Ledger(config.limits.sockets)
         self.in_hand: set[bytes] = set()  # the traces of what clients wait for
+        self.resets_until = -inf  # until then connections to upstreams are taken to break at any time
         self.stopping = False
         self.datagrams: Datagrams | None = None
         self.list = List(self, config.known.version if config.known else 0)
--- a/starlingwheel/net/memory/work.py
+++ b/starlingwheel/net/memory/work.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from ...decisions.terms import HandOff, WorkItem
+from ...decisions.terms import Effect, HandOff, WorkItem
 from .buffers import Body
 
 if TYPE_CHECKING:
@@ -42,6 +42,11 @@
     connection: Actor | None = None  # the one that the carrier has given it to
     written: bool = False
 
+    @property
+    def once(self) -> bool:
+        """What it carries can't be sent again if it may have run."""
+        return self.job is not None and self.job.wi.category.effect is Effect.EXCLUSIVE
+
 
 @dataclass(slots=True, frozen=True)
 class Answer:
--- a/starlingwheel/net/wire/http.py
+++ b/starlingwheel/net/wire/http.py
@@ -65,6 +65,14 @@
         for event in events:
             self.unwritten += self.http.send_with_data_passthrough(event) or []
 
+    def keep_last(self) -> bytes:
+        """Take the last byte back from what is to be written."""
+        while not self.unwritten[-1]:
+            self.unwritten.pop()
+        last = memoryview(self.unwritten[-1])
+        self.unwritten[-1] = last[:-1]
+        return bytes(last[-1:])
+
     def write(self) -> bool:
         """Write on; True when nothing is left."""
         while self.unwritten:
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -24,6 +24,10 @@
     from ..lifecycle.start import Node
 
 EARLY = 0.8  # part of the time after which an upstream closes an idle connection, at which we do
+HELD = 1 / 64  # part of the shortest due time for which the last byte of exclusive work is held back
+WARY = (
+    8.0  # longest expiries for which that is done after a connection has broken under a request just written
+)
 LONGEST_REPORT = 512
 FIGURE = re.compile(r"\d{1,9}(\.\d{1,9})?")
 BEGINNING = b"HTTP/1."
@@ -138,7 +142,7 @@
         self.body = Body(node.pool)
         self.reason = ""
         self.carried = 0
-        self.idle_since = 0.0
+        self.idle_since = self.written_at = 0.0
         node.ledger.upstream[self] = None
         node.ledger.note()
         super().__init__(node.loop)
@@ -175,6 +179,13 @@
         if reason == "dropped":
             return Fate.CANCELLED
         written = self.errand is not None and self.errand.written
+        if self.errand is not None and reason in ("reset", "cut-short"):
+            now = self.loop.now()
+            if not written or now < self.written_at + HELD * self.node.shortest:
+                self.node.resets_until = now + WARY * self.node.longest
+        if self.errand is not None and not written and self.carried:
+            # The connection was old, which says nothing of the upstream.
+            return Fate.UNSENT
         if reason == "overdue" and written:
             return Fate.OVERDUE
         if reason == "no-buffers" and not written:
@@ -209,12 +220,12 @@
             # Guards against what came behind the last answer being taken for the next one.
             raise Lost("unasked-bytes")
         self._put(errand)
+        if errand.once and self.loop.now() < self.node.resets_until:
+            yield from self._hold_back(errand)
         while not stream.write():
             stream.want(READ | WRITE)
-            if (yield from self._await(errand.until, "overdue")).mask & INPUT:
-                # Guards against an answer to something else: nobody can have made this one.
-                raise Lost("early-answer")
-        errand.written = True
+            self._still_unanswered((yield from self._await(errand.until, "overdue")))
+        errand.written, self.written_at = True, self.loop.now()
         stream.want(READ)
         response = yield from self._answer(errand)
         headers = dict(response.headers)
@@ -233,6 +244,35 @@
         self.body.release()
         return fate, report, None
 
+    def _hold_back(self, errand: Errand) -> Coroutine[None]:
+        """Write all but the last byte, and wait a moment for the connection to break.
+
+        Guards against exclusive work lost to connections that upstreams have closed or reset already: while a
+        byte is missing none can have begun it.
+        """
+        last = self.stream.keep_last()
+        while not self.stream.write():
+            self.stream.want(READ | WRITE)
+            self._still_unanswered((yield from self._await(errand.until, "overdue")))
+        self.stream.want(READ)
+        until = self.loop.now() + HELD * self.node.shortest
+        while self.loop.now() < until:
+            mail = yield min(until, errand.until)
+            if isinstance(mail, Ready):
+                self._still_unanswered(mail)
+            elif isinstance(mail, Drop) and mail.errand is errand:
+                raise Lost("dropped")
+        if self.loop.now() >= errand.until:
+            raise Lost("overdue")
+        if not self.stream.silent():
+            raise Lost("reset")
+        self.stream.unwritten.append(last)
+
+    def _still_unanswered(self, ready: Ready) -> None:
+        """Guards against an answer to something else: before its request is written there is none."""
+        if ready.mask & INPUT:
+            raise Lost("reset" if ready.hung_up else "early-answer")
+
     def _put(self, errand: Errand) -> None:
         host = (b"Host", b"backend.local")
         if errand.job is None:
