--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -74,12 +74,12 @@
 class Histogram:
     """Counts in a few coarse bins, each `growth` times the last, halved when they grow old."""
 
-    __slots__ = ("base", "growth", "bins", "total", "most", "halved")
+    __slots__ = ("base", "growth", "bins", "total", "sum", "most", "halved")
 
     def __init__(self, base: float, growth: float, bins: int, most: int, now: float = 0.0) -> None:
         self.base, self.growth, self.most = base, growth, most
         self.bins = [0.0] * bins
-        self.total = 0.0
+        self.total = self.sum = 0.0
         self.halved = now
 
     def add(self, value: float) -> None:
@@ -88,12 +88,14 @@
             i, edge = i + 1, edge * self.growth
         self.bins[i] += 1
         self.total += 1
+        self.sum += edge / self.growth**0.5
         if self.total > self.most:
             self.halve()
 
     def halve(self, times: int = 1) -> None:
         self.bins = [n / 2**times for n in self.bins]
         self.total /= 2**times
+        self.sum /= 2**times
 
     def aged(self, now: float, span: float) -> Histogram:
         """Halved as often as `span` has passed since it was last read."""
@@ -105,9 +107,7 @@
 
     def mean(self, prior: float, doubt: float) -> float:
         """Of what was seen and of `doubt` more values at `prior`."""
-        middle = self.base / self.growth**0.5
-        seen = sum(n * middle * self.growth**i for i, n in enumerate(self.bins))
-        return (doubt * prior + seen) / (doubt + self.total)
+        return (doubt * prior + self.sum) / (doubt + self.total)
 
     def percentile(self, share: float) -> float:
         left, edge = share * self.total, self.base
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -28,6 +28,7 @@
 from .signals import Signals
 from .stop import Pulse, Stopper
 
+COLLECT = 10_000  # objects more than were freed, after which cycles are looked for
 BUFFERS = 1 / 3  # part of the memory limit that buffers may take
 
 
@@ -100,6 +101,7 @@
         return 2
     gc.collect()
     gc.freeze()
+    gc.set_threshold(COLLECT)  # nearly all is freed without the collector
     node.begin()
     node.loop.run()
     node.loop.close()
--- a/starlingwheel/net/loop.py
+++ b/starlingwheel/net/loop.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cache
 from math import inf
 from typing import TYPE_CHECKING
 from weakref import ref
@@ -26,7 +27,7 @@
 MOST_EVENTS = 256
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Ready:
     """A socket of the actor's is ready, in the way that `mask` says."""
 
@@ -37,6 +38,9 @@
         return bool(self.mask & HANGUP)
 
 
+ready = cache(Ready)  # the same few words over and over
+
+
 class Loop:
     def __init__(self, defect: Callable[[Actor, Exception], None]) -> None:
         self.defect = defect
@@ -92,7 +96,7 @@
             wait = 0
         for fd, mask in self.epoll.poll(None if wait == inf else max(wait, 0), MOST_EVENTS):
             if actor := self.watched.get(fd):
-                actor.post(Ready(mask))
+                actor.post(ready(mask))
         # What has come goes before what is due, so that a late turn makes no time-out of an answer.
         for _ in range(len(self.ready) + len(self.urgent)):
             self._next()
--- a/starlingwheel/net/mail.py
+++ b/starlingwheel/net/mail.py
@@ -9,21 +9,21 @@
 from .memory.work import Answer, Errand, Job
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Taken:
     """To the module: a client's work item."""
 
     job: Job
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Left:
     """To the module: the client of a work item has gone away."""
 
     job: Job
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Ended:
     """To the module: an errand has ended."""
 
@@ -33,7 +33,7 @@
     answer: Answer | None = None
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Listed:
     """To the module: word from the list of upstreams."""
 
@@ -41,7 +41,7 @@
     entries: list[Any]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Heard:
     """To the module: what a peer has said."""
 
@@ -49,7 +49,7 @@
     body: bytes
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Final:
     """To a client: the final answer for its work item."""
 
@@ -58,35 +58,35 @@
     come_back: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Carry:
     """To an upstream and its connections: an errand to run."""
 
     errand: Errand
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Drop:
     """To an upstream and its connections: give the errand up."""
 
     errand: Errand
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Free:
     """To an upstream: a connection of its can carry the next errand."""
 
     connection: Any
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Closed:
     """To an upstream: a connection of its has ended."""
 
     connection: Any
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Moved:
     """To an upstream: what the list now says of it; None: it has left."""
 
@@ -97,7 +97,7 @@
     """To the list: begin a watch."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class Relocated:
     """To the list: a new configuration names another discovery."""
 
