--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -349,6 +349,8 @@
                 raise Lost("upstream-closed")
 
     def _settle(self, fate: Fate, report: dict[str, float], answer: Answer | None) -> None:
+        if fate is not Fate.FINISHED:
+            self.node.log("x", cat=self.errand.job.wi.category.name if self.errand.job else "", fate=fate.name, why=self.reason, carried=self.carried, up=self.upstream.entry.id, after=round(1000*(self.loop.now()-self.written_at),1) if self.errand.written else -1)
         self.node.module.post(Ended(self.errand, fate, report, answer))
         self.errand = None
 
