--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -182,8 +182,6 @@
         self.lately, self.noted_at = 0.0, now
         self.out = 0
         self.tells, self.asks = self._cheapest()
-        import collections
-        self.why = collections.Counter()
 
     # The ordinary path.
 
@@ -353,11 +351,7 @@
             for u in looked:
                 if u in used:
                     continue
-                if not self._trusted(u, wi):
-                    self.why["aside" if self.now < u.aside_until else "suspect" if u in self.suspects and wi.category.effect is Effect.EXCLUSIVE and self._suspect(u) else "trickle" if u.trickle<inf else "silent"]+=1
-                    continue
-                if not self._within_cold_budget(u):
-                    self.why["cold"]+=1
+                if not self._trusted(u, wi) or not self._within_cold_budget(u):
                     continue
                 load = self._load(u)
                 relative = self._relative(u)
@@ -366,7 +360,6 @@
                 # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
                 # what it has once nothing of its own is out.
                 if load >= 1 and (expected > left or load >= line) and self.out and not full:
-                    self.why["line" if load>=line else "left"]+=1
                     continue
                 weight = self._warmth(u) / ((1 + load) * relative) * len(pool) / len(looked)
                 choice.append((u, weight, expected))
@@ -374,7 +367,6 @@
                 choice = near
                 break
         if not choice:
-            self.why["none-handed%d"%len(handed)]+=1
             return None
         return self.chance.choices([c[0] for c in choice], [c[1] for c in choice])[0]
 
--- a/starlingwheel/net/lifecycle/stop.py
+++ b/starlingwheel/net/lifecycle/stop.py
@@ -51,7 +51,7 @@
                 resident = int(file.read().split()[1]) * PAGE
             node.log(
                 "pulse",
-                **node.module.counts, why=dict(node.module.runner.balancer.why), typ={c.name:round(1000*node.module.runner.balancer._typical(c),1) for c in node.terms.categories}, delay=round(node.module.runner.balancer.latency.percentile(0.98),2), asks=node.module.runner.balancer.asks, tells=node.module.runner.balancer.tells,
+                **node.module.counts,
                 in_hand=len(node.module.jobs),
                 upstreams=len(node.module.upstreams),
                 connections=len(node.ledger.clients) + len(node.ledger.upstream),
--- a/starlingwheel/net/memory/buffers.py
+++ b/starlingwheel/net/memory/buffers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 SIZE = 8192
-LONGEST_BODY = 65536
+LONGEST_BODY = 65536  # of a request
+ANSWER = 1 / 16  # part of all buffers that one answer may take: upstreams send longer ones than they are sent
 
 
 class Exhausted(Exception):
@@ -16,7 +17,8 @@
         self.made = 0
         self.free: list[bytearray] = []
         # Reading has a buffer of its own, empty again before the next turn: a full pool stops no read.
-        self.scratch = bytearray(SIZE)
+        self.scratch = bytearray(LONGEST_BODY)
+        self.longest_answer = max(LONGEST_BODY, int(most * ANSWER) * SIZE)
 
     def take(self) -> bytearray:
         if self.free:
--- a/starlingwheel/net/wire/http.py
+++ b/starlingwheel/net/wire/http.py
@@ -11,7 +11,7 @@
 
 from ..loop import HANGUP, READ, Loop, Ready
 from ..mail import CLOSE
-from ..memory.buffers import Pool
+from ..memory.buffers import SIZE, Pool
 from .address import split
 
 LONGEST_HEAD = 16384
@@ -27,6 +27,8 @@
     def __init__(self, loop: Loop, actor: Any, sock: socket.socket, role: type, pool: Pool) -> None:
         self.loop, self.actor, self.sock, self.pool = loop, actor, sock, pool
         self.http = h11.Connection(role, max_incomplete_event_size=LONGEST_HEAD)
+        # Clients are read in small pieces: h11 measures only heads that are not whole yet.
+        self.at_once = SIZE if role is h11.SERVER else len(pool.scratch)
         self.unwritten: list[Any] = []
         self.mask = 0
         self.over = False  # the other side has ended
@@ -46,7 +48,7 @@
     def read(self) -> int | None:
         """Give h11 what has come; None: nothing yet, 0: the other side has ended."""
         try:
-            count = self.sock.recv_into(self.pool.scratch)
+            count = self.sock.recv_into(self.pool.scratch, self.at_once)
             self.over = not count
             self.http.receive_data(memoryview(self.pool.scratch)[:count] if count else b"")
             return count
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -16,7 +16,7 @@
 from ..actor import Actor, Coroutine
 from ..loop import INPUT, READ, WRITE, Ready
 from ..mail import CLOSE, Carry, Closed, Drop, Ended, Free, Moved
-from ..memory.buffers import LONGEST_BODY, Body, Exhausted
+from ..memory.buffers import Body, Exhausted
 from ..memory.work import Answer, Errand
 from .http import Lost, Stream, connect
 
@@ -53,7 +53,7 @@
     return report
 
 
-def framed(response: h11.Response) -> None:
+def framed(response: h11.Response, longest: int) -> None:
     """Raises `Lost` for an answer whose end can not be told, or that is too long to pass on.
 
     An answer that ends with its connection is none either: nobody could tell it from one that was cut short.
@@ -62,7 +62,7 @@
     chunked = any(name == b"transfer-encoding" for name, _ in response.headers)
     if len(lengths) + chunked != 1:
         raise Lost("unframed")
-    if lengths and int(lengths[0]) > LONGEST_BODY:
+    if lengths and int(lengths[0]) > longest:
         raise Lost("answer-too-long")
 
 
@@ -296,9 +296,9 @@
             event = self.stream.event()
             if isinstance(event, h11.Response):
                 response = event
-                framed(response)
+                framed(response, self.node.pool.longest_answer)
             elif isinstance(event, h11.Data):
-                if self.body.length + len(event.data) > LONGEST_BODY:
+                if self.body.length + len(event.data) > self.node.pool.longest_answer:
                     raise Lost("answer-too-long")
                 try:
                     self.body.add(event.data)
@@ -349,8 +349,6 @@
                 raise Lost("upstream-closed")
 
     def _settle(self, fate: Fate, report: dict[str, float], answer: Answer | None) -> None:
-        if fate is not Fate.FINISHED:
-            self.node.log("x", cat=self.errand.job.wi.category.name if self.errand.job else "", fate=fate.name, why=self.reason, carried=self.carried, up=self.upstream.entry.id, after=round(1000*(self.loop.now()-self.written_at),1) if self.errand.written else -1)
         self.node.module.post(Ended(self.errand, fate, report, answer))
         self.errand = None
 
