--- a/starlingwheel/net/memory/connections.py
+++ b/starlingwheel/net/memory/connections.py
@@ -1,18 +1,18 @@
-"""The descriptors in use against the limit: what clients need, what upstreams may have, some spare."""
+"""The descriptors in use against the limit: half for clients, half for upstreams, some spare for the rest."""
 
 from __future__ import annotations
 
 from typing import Any
 
-REQUESTS = 1 / 3  # part of the limit that clients take for requests, at most
+REQUESTS = 1 / 3  # part of the limit that clients hold for requests, at most
 SPARE = 1 / 16  # part of the limit for the list, peers and the log; as much again for clients of no use
 
 
 class Ledger:
     def __init__(self, most: int) -> None:
         self.spare = max(16, int(most * SPARE))
-        self.client_share = max(1, int(most * REQUESTS))
-        self.share = max(1, most - self.client_share - 2 * self.spare)  # for upstreams
+        self.most_requests = max(1, int(most * REQUESTS))  # in hand at a time
+        self.share = self.client_share = max(1, (most - 2 * self.spare) // 2)
         self.clients: dict[Any, None] = {}
         self.upstream: dict[Any, None] = {}
         self.idle: dict[Any, None] = {}  # of those to upstreams, the longest idle first
@@ -38,11 +38,15 @@
     def longest_idle(self) -> Any:
         return next(iter(self.idle), None)
 
-    def client_to_close(self) -> Any:
+    def client_to_close(self, connected_before: float) -> Any:
         """One that is of no use, if there are too many: guards against silent ones shutting out others."""
         if len(self.clients) < self.client_share:
             return None
-        for expendable in (self.leaving, self.unheard, self.idle_clients):
+        oldest = next(iter(self.unheard), None)
+        # Guards against closing one that has just connected and is about to ask.
+        silent = oldest is not None and oldest.opened < connected_before
+        order = (self.unheard, self.idle_clients) if silent else (self.idle_clients, self.unheard)
+        for expendable in (self.leaving, *order):
             for client in expendable:
                 del expendable[client]
                 return client
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -24,6 +24,7 @@
 QUIET = 2.0  # seconds after which a connection with no request open may be closed, as the protocol says
 PATIENT = 1.1  # times that, after which it is
 WHOLE = 1.25  # times that, from connecting, by which the first request is whole
+PROMPT = 1 / 40  # times that, within which a usual client that has connected asks
 READ_AWAY = 4 * LONGEST_BODY  # bytes read from a client that sends on after its answer, at most
 LONGEST_NUMBER = 15  # digits
 METHODS = {Effect.RERUNNABLE: b"GET", Effect.TICKETED: b"POST", Effect.EXCLUSIVE: b"POST"}
@@ -73,7 +74,7 @@
                     self.node.log("accept.failed", error=str(error))
                     return False
                 continue
-            expendable = self.node.ledger.client_to_close()
+            expendable = self.node.ledger.client_to_close(self.loop.now() - PROMPT * QUIET)
             Client(self.node, sock).begin()
             if expendable:
                 # Guards against clients that use none of their connections shutting out others.
@@ -250,7 +251,7 @@
         patience = int(told) / 1000
         if patience <= 0:
             raise Unfit(408, "expired when it came")
-        if len(self.node.in_hand) >= self.node.ledger.client_share:
+        if len(self.node.in_hand) >= self.node.ledger.most_requests:
             # Guards against clients taking the descriptors that their own work needs.
             raise Unfit(503, "too many connections")
         wi = WorkItem(
