A client that has just connected is not closed for the sake of the next one

Checked and ruled out: the processor (64 of 800 samples busy), our own deferrals (81). At fault: Ledger.client_to_close, which put clients that had not asked first however young they were.

--- a/starlingwheel/net/memory/connections.py
+++ b/starlingwheel/net/memory/connections.py
@@ -1,10 +1,11 @@
-"""The descriptors in use against the limit: half for clients, half for upstreams, some spare for the rest."""
+"""The descriptors in use against the limit: what clients need, what upstreams may have, some spare."""
 
 from __future__ import annotations
 
 from typing import Any
 
 REQUESTS = 1 / 3  # part of the limit that clients hold for requests, at most
+OPEN = 7 / 8  # part of that many connections of clients from which on those of no use are closed
 SPARE = 1 / 16  # part of the limit for the list, peers and the log; as much again for clients of no use
 
 
@@ -12,7 +13,9 @@
     def __init__(self, most: int) -> None:
         self.spare = max(16, int(most * SPARE))
         self.most_requests = max(1, int(most * REQUESTS))  # in hand at a time
-        self.share = self.client_share = max(1, (most - 2 * self.spare) // 2)
+        # Guards against connections that asked once and stay using up what clients may hold.
+        self.client_share = max(1, int(self.most_requests * OPEN))
+        self.share = max(1, most - self.most_requests - 2 * self.spare)  # for upstreams
         self.clients: dict[Any, None] = {}
         self.upstream: dict[Any, None] = {}
         self.idle: dict[Any, None] = {}  # of those to upstreams, the longest idle first
@@ -30,7 +33,7 @@
     @property
     def closed(self) -> bool:
         """There is not even room to tell one more client that we are full."""
-        return len(self.clients) >= self.client_share + self.spare
+        return len(self.clients) >= self.most_requests + self.spare
 
     def room_for_upstream(self) -> bool:
         return len(self.upstream) < self.share
