--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -68,7 +68,6 @@
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
 WARNING = 255  # told in place of a count: the upstream has failed a hand-off
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
-FEW = 10  # sidecars below which each one's part of those does not grow
 AT_ONCE = 4.0  # messages told without a pause
 
 
@@ -465,8 +464,7 @@
         """Tell the peers what has changed of what we have out, within our part of what each may hear."""
         if not self.untold and not self.unwarned:
             return
-        # Guards against few sidecars at a high pace spending their part of a core on each other's words.
-        rate = HEARD / self.shortest / max(self.terms.sidecars, FEW)
+        rate = HEARD / self.shortest / self.terms.sidecars
         self.may_tell = min(AT_ONCE, self.may_tell + (self.now - self.told_at) * rate)
         self.told_at = self.now
         if self.may_tell >= 1:
