--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -1,5 +1,6 @@
 """Stories of the list, peers, start, stop and the log of a real sidecar."""
 
+import gc
 import os
 import signal
 import socket
@@ -117,6 +118,36 @@
     assert around.logged("list.end")[0]["reason"] == "silent"
 
 
+def test_nothing_is_kept_of_thousands_of_upstreams_that_have_left(around):
+    watch, _ = around.watch(b"")
+    node, balancer = around.node, around.node.module.runner.balancer
+    for version in range(8, 108):
+        new = [around.entry(0, id=f"{version}-{i}") for i in range(20)]
+        gone = [{"id": f"{version - 1}-{i}", "state": "left"} for i in range(20)] + [
+            {"id": "s0", "state": "left"}
+        ]
+        around.say(watch, {"version": version, "servers": gone + new})
+        around.until(lambda: node.list.version == version)  # noqa: B023
+        around.until(lambda: not node.module.mailbox)
+        for u in list(balancer.upstreams.values())[:5]:
+            node.module.runner.heard(1, u.tag.to_bytes(2, "big") + b"\x03")
+        client = around.ask("buy", b"one", x_trace_id=f"t{version}", connection="close")
+        around.serve(status=500 if version % 2 else 200)  # all of them at one address
+        assert around.status(client) in (200, 504)
+        client.close()
+    around.until(lambda: not node.module.jobs and not node.ledger.clients)
+    assert len(node.module.upstreams) == len(balancer.upstreams) == len(balancer.tagged) == 20
+    assert len(balancer.suspects) <= 10 and len(balancer.told) <= 5 * 100
+    node.module.runner.at(node.module.runner.now + 60)
+    balancer._forget_old_counts()
+    balancer.stale_plan = True
+    balancer._plan_afresh()
+    assert not balancer.told and not balancer.counted
+    assert len(node.ledger.upstream) <= 1 and not node.in_hand  # those to the last ones are kept
+    gc.collect()
+    assert len([actor for _, _, held in node.loop.timers if (actor := held())]) < 10
+
+
 # New configurations.
 
 
@@ -278,6 +309,19 @@
     assert process.returncode == 0 and errors == b"" and b'"event":"end"' in out
 
 
+def test_a_new_configuration_does_not_end_the_program(program):
+    process, listen = program()
+    process.send_signal(signal.SIGHUP)
+    while b'"config.read"' not in (line := process.stdout.readline()):
+        assert line
+    with socket.create_connection(listen) as client:
+        client.sendall(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert client.recv(64).startswith(b"HTTP/1.1 503")
+    process.send_signal(signal.SIGTERM)
+    process.communicate(timeout=10)
+    assert process.returncode == 0
+
+
 def test_after_a_kill_it_starts_again_under_its_address(program):
     process, listen = program()
     with socket.create_connection(listen):
