One write loop to upstreams; the list's mail stands with the other mail

Read once more, behaviour as it was. Connection had the same write loop twice; while a body was read h11's buffer was copied for a check that only heads need; Said and WatchEnded stood in discovery.py though mail.py is what actors write to each other.

--- a/starlingwheel/net/mail.py
+++ b/starlingwheel/net/mail.py
@@ -104,6 +104,21 @@
     address: str
 
 
+@dataclass(slots=True, eq=False)
+class Said:
+    """To the list: a watch has read a line."""
+
+    watch: Any
+    word: Any
+
+
+@dataclass(slots=True, eq=False)
+class WatchEnded:
+    """To the list: a watch has ended."""
+
+    watch: Any
+
+
 class Stop:
     """To whoever listens or holds a connection: end as soon as nothing is owed."""
 
--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import inf
 from typing import TYPE_CHECKING, Literal
 
@@ -12,7 +11,7 @@
 from ...decisions.terms import Condition, Listing, News
 from ..actor import Actor, Coroutine
 from ..loop import READ, WRITE, Ready
-from ..mail import CLOSE, Listed, Relocated, Subscribe
+from ..mail import CLOSE, Listed, Relocated, Said, Subscribe, WatchEnded
 from .http import Lost, Stream, connect
 
 if TYPE_CHECKING:
@@ -61,21 +60,6 @@
         return News.WHOLE if self.full else News.CHANGES
 
 
-@dataclass(slots=True, frozen=True)
-class Said:
-    """To the list: a watch has read a line."""
-
-    watch: Watch
-    word: Word
-
-
-@dataclass(slots=True, frozen=True)
-class WatchEnded:
-    """To the list: a watch has ended."""
-
-    watch: Watch
-
-
 class Watch(Actor):
     """One call to discovery, from its connection to its end; what it reads goes to the list's actor."""
 
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -25,9 +25,7 @@
 
 EARLY = 0.8  # part of the time after which an upstream closes an idle connection, at which we do
 HELD = 1 / 64  # part of the shortest due time for which the last byte of exclusive work is held back
-WARY = (
-    8.0  # longest expiries for which that is done after a connection has broken under a request just written
-)
+WARY = 8.0  # longest expiries for which that is done after a connection broke under a request just written
 LONGEST_REPORT = 512
 FIGURE = re.compile(r"\d{1,9}(\.\d{1,9})?")
 BEGINNING = b"HTTP/1."
@@ -222,9 +220,7 @@
         self._put(errand)
         if errand.once and self.loop.now() < self.node.resets_until:
             yield from self._hold_back(errand)
-        while not stream.write():
-            stream.want(READ | WRITE)
-            self._still_unanswered((yield from self._await(errand.until, "overdue")))
+        yield from self._write(errand)
         errand.written, self.written_at = True, self.loop.now()
         stream.want(READ)
         response = yield from self._answer(errand)
@@ -251,9 +247,7 @@
         byte is missing none can have begun it.
         """
         last = self.stream.keep_last()
-        while not self.stream.write():
-            self.stream.want(READ | WRITE)
-            self._still_unanswered((yield from self._await(errand.until, "overdue")))
+        yield from self._write(errand)
         self.stream.want(READ)
         until = self.loop.now() + HELD * self.node.shortest
         while self.loop.now() < until:
@@ -268,6 +262,11 @@
             raise Lost("reset")
         self.stream.unwritten.append(last)
 
+    def _write(self, errand: Errand) -> Coroutine[None]:
+        while not self.stream.write():
+            self.stream.want(READ | WRITE)
+            self._still_unanswered((yield from self._await(errand.until, "overdue")))
+
     def _still_unanswered(self, ready: Ready) -> None:
         """Guards against an answer to something else: before its request is written there is none."""
         if ready.mask & INPUT:
@@ -309,10 +308,11 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise Lost("upstream-closed")
             elif event is h11.NEED_DATA:
-                begun = self.stream.http.trailing_data[0]
-                if response is None and not begun.startswith(BEGINNING[: len(begun)]):
-                    # Guards against waiting for the end of a head in noise that has no line in it.
-                    raise Lost("malformed")
+                if response is None:
+                    begun = self.stream.http.trailing_data[0]
+                    if not begun.startswith(BEGINNING[: len(begun)]):
+                        # Guards against waiting for the end of a head in noise that has no line in it.
+                        raise Lost("malformed")
                 yield from self._await(errand.until, "overdue")
                 self.stream.read()
 
