--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -67,6 +67,8 @@
 COUNT = 3  # bytes that a peer's count takes
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
 WARNING = 255  # told in place of a count: the upstream has failed a hand-off
+LOST = 254  # told beside a count: a hand-off has ended there with nothing answered
+TRIALS = 1 / 8  # part of the hand-offs that may fail at upstreams that were set aside
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
 AT_ONCE = 4.0  # messages told without a pause
 
@@ -175,6 +177,8 @@
         self.heard_at = -inf
         self.untold: dict[Upstream, None] = {}
         self.unwarned: dict[Upstream, None] = {}
+        self.lost: dict[Upstream, None] = {}
+        self.trials = 1.0
         self.tagged: dict[int, Upstream] = {}
         self.suspects: dict[Upstream, None] = {}
         self.may_tell, self.told_at = AT_ONCE, now
@@ -207,6 +211,7 @@
                     if self.tells:
                         self.untold[upstream] = None
                     self.out += 1
+                    self.trials = min(1.0, self.trials + TRIALS) - (upstream.trickle < inf)
                     if self._warmth(upstream) < 1:
                         upstream.sends.append(self.now)
                     if upstream.spare:
@@ -462,7 +467,7 @@
 
     def _tell(self) -> Steps:
         """Tell the peers what has changed of what we have out, within our part of what each may hear."""
-        if not self.untold and not self.unwarned:
+        if not self.untold and not self.unwarned and not self.lost:
             return
         rate = HEARD / self.shortest / self.terms.sidecars
         self.may_tell = min(AT_ONCE, self.may_tell + (self.now - self.told_at) * rate)
@@ -470,8 +475,10 @@
         if self.may_tell >= 1:
             self.may_tell -= 1
             told = [(u.tag, WARNING) for u in self.unwarned]
-            told += [(u.tag, min(len(u.pending), WARNING - 1)) for u in self.untold]
+            told += [(u.tag, LOST) for u in self.lost]
+            told += [(u.tag, min(len(u.pending), LOST - 1)) for u in self.untold]
             self.unwarned.clear()
+            self.lost.clear()
             self.untold.clear()
             yield Tell(b"".join(tag.to_bytes(2, "big") + bytes([n]) for tag, n in told[: LONGEST // COUNT]))
 
@@ -479,13 +486,22 @@
         if not 0 <= peer < self.terms.sidecars:
             return
         self._plan_afresh()
+        lost: set[int] = set()
         for i in range(0, len(body) - COUNT + 1, COUNT):
             tag, n = int.from_bytes(body[i : i + 2], "big"), body[i + 2]
+            u = self.tagged.get(tag)
             if n == WARNING:
-                if u := self.tagged.get(tag):
+                if u is not None:
                     self._warned(u)
                 continue
+            if n == LOST:
+                lost.add(tag)
+                if u is not None and self._silent(u):
+                    self._set_aside(u)
+                continue
             _, before = self.told.pop((peer, tag), (0.0, 0))
+            if n < before and tag not in lost and u is not None:
+                u.answered = self.now
             if n:
                 self.told[peer, tag] = (self.now, n)
             self.counted[tag] = self.counted.get(tag, 0) + n - before
@@ -572,9 +588,16 @@
             if self._silence(oldest) > self.shortest / 4:
                 return False
         if u.trickle < inf:
+            # Guards against most hand-offs being trials where much of a fleet is gone; a good one is free.
+            if u.trickle == 1 and self.trials < 0:
+                return False
             return len(u.pending) < u.trickle and wi.category.effect is not Effect.EXCLUSIVE
         return True
 
+    def _silent(self, u: Upstream) -> bool:
+        """Nobody we hear of has had an answer there lately; one that is slow or full goes on answering."""
+        return u.answered < self.now - self.shortest / 2
+
     def _silence(self, ho: HandOff) -> float:
         """How much longer its upstream has answered nothing than it should have taken."""
         expected = self._typical(ho.wi.category) * (1 + ho.load)
@@ -604,6 +627,7 @@
         if not bad:
             u.failures = 0
             if u.trickle < inf:
+                self.trials += 1
                 u.trickle = u.trickle * 2 if u.trickle < TRUSTED else inf
             if u.trickle == inf:
                 u.unreached = False
@@ -615,9 +639,18 @@
         chance = (BY_CHANCE if u.unreached else self.bad / self.outcomes) ** u.failures
         # Guards against rows that are bound to come up where one upstream gets many hand-offs in a due time.
         if chance * max(1.0, self.lately / (STALE * self._ready() + 1)) <= BY_CHANCE or u.trickle < inf:
-            u.pause = min(2 * u.pause, 2 * self.shortest) if u.trickle < inf else self.shortest / 2
-            u.aside_until = self.now + u.pause
-            u.trickle = 1
+            self._set_aside(u)
+
+    def _set_aside(self, u: Upstream) -> None:
+        u.pause = min(2 * u.pause, 2 * self.shortest) if u.trickle < inf else self.shortest / 2
+        # Guards against all sidecars that heard of it trying it again in the same moment.
+        u.aside_until = self.now + u.pause * (0.5 + self.chance.random())
+        u.trickle = 1
+
+    def _unanswered(self, u: Upstream) -> None:
+        """Guards against each of many sidecars losing a hand-off of its own to what has fallen silent."""
+        if self.tells and self._silent(u):
+            self.lost[u] = None
 
     def settle(self, outcome: Outcome) -> None:
         ho, u = outcome.ho, outcome.ho.upstream
@@ -636,6 +669,8 @@
                 self._note(u, bad=False)
             case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
                 self._note(u, bad=True)
+                if outcome.fate is Fate.UNREACHED:
+                    self._unanswered(u)
                 known = self.now < u.warned_at + self.shortest
                 # Guards against faults that any upstream has alike keeping exclusive work from half of them.
                 others = max(0.0, self.bad - u.failures) / self.outcomes
@@ -646,6 +681,7 @@
             case Fate.CANCELLED | Fate.OVERDUE:
                 if self._silence(ho) > 0:
                     self._note(u, bad=True)
+                    self._unanswered(u)
 
     def _learn(self, ho: HandOff, took: float) -> None:
         u, cat = ho.upstream, ho.wi.category
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -3,8 +3,10 @@
 import pytest
 from conftest import BUY, LOOK
 
+from starlingwheel.decisions.rules import LOST
 from starlingwheel.decisions.terms import Condition, Fate, News
 
+TELLING = {"sidecars": 3, "peers_allowed": True}
 ASKING = {"sidecars": 400, "asking_allowed": True, "asking_price": 0.01}
 
 
@@ -211,3 +213,64 @@
     host = make_host(upstreams=upstreams, sidecars=100_000)
     host.serve(30)
     assert len(host.sent) == 30
+
+
+def lose(host, ho, after=2.5):
+    host.later(after)
+    host.end(ho, Fate.OVERDUE)
+
+
+def test_an_upstream_that_a_peer_lost_a_hand_off_to_is_left_alone(make_host):
+    host = make_host(**TELLING)
+    host.later(2.0)
+    u = host.runner.balancer.upstreams["u0"]
+    host.hears(1, u, LOST)
+    host.serve(12, took=0.01)
+    assert u not in {ho.upstream for ho in host.sent}
+
+
+def test_a_peers_lost_hand_off_says_nothing_of_an_upstream_that_answers_others(make_host):
+    host = make_host(**TELLING)
+    host.later(2.0)
+    u = host.runner.balancer.upstreams["u0"]
+    host.hears(2, u, 2)
+    host.hears(2, u, 1)  # one of them has been answered
+    host.hears(1, u, LOST)
+    assert u.trickle == float("inf")
+
+
+def test_a_hand_off_that_ends_unanswered_is_told_to_peers(make_host):
+    host = make_host(**TELLING)
+    ho = host.of(host.take())[0]
+    lose(host, ho)
+    host.take()
+    said = b"".join(host.told)
+    assert ho.upstream.tag.to_bytes(2, "big") + bytes([LOST]) in [
+        said[i : i + 3] for i in range(0, len(said), 3)
+    ]
+
+
+def test_where_half_of_a_fleet_is_gone_few_hand_offs_are_trials_of_it(make_host):
+    host = make_host(upstreams=40)
+    host.serve(60, took=0.01)
+    gone = set(list(host.runner.balancer.upstreams.values())[:20])
+    refused = 0
+    for i in range(400):
+        wi = host.take()
+        host.later(0.04)
+        while ho := next((ho for ho in host.of(wi) if ho.pending), None):
+            refused += ho.upstream in gone and i >= 100
+            host.end(ho, Fate.UNREACHED if ho.upstream in gone else Fate.FINISHED)
+    assert refused < 300 / 4
+
+
+def test_a_fleet_that_is_back_is_taken_up_again_at_once(make_host):
+    host = make_host(upstreams=20)
+    host.serve(60, took=0.01)
+    for _ in range(40):
+        wi = host.take()
+        while ho := next((ho for ho in host.of(wi) if ho.pending), None):
+            host.end(ho, Fate.UNREACHED)
+    host.later(3.0)
+    host.serve(100, took=0.01)
+    assert len({ho.upstream for ho in host.sent[-40:]}) > 12
