--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -64,10 +64,13 @@
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 LONGEST = 256  # bytes that a message holds, and that its price is for
+AHEAD = 0.5  # what a work item ahead adds to an answer, as a part of that: it is half done by the mean
 COUNT = 3  # bytes that a peer's count takes
+KEPT = 0.75  # part of the time that idle connections are kept for which they are counted on
 MESSAGE = 16  # bytes that a short message costs, as far as prices go
 WARNING = 255  # told in place of a count: the upstream has failed a hand-off
-LOST = 254  # told beside a count: a hand-off has ended there with nothing answered
+LOST = 254  # told beside a count: the upstream has left a hand-off unanswered
+UNSAID = 253  # told beside a count: a hand-off has ended there by itself, which tells nothing of it
 TRIALS = 1 / 8  # part of the hand-offs that may fail at upstreams that were set aside
 HEARD = 512.0  # messages heard from all peers in the shortest due time, at most
 AT_ONCE = 4.0  # messages told without a pause
@@ -142,7 +145,7 @@
         self.turn: float = now
         self.phase: float | None = None
         self.failures, self.pause, self.aside_until, self.trickle = 0, 0.0, -inf, inf
-        self.unreached, self.warned_at = False, -inf
+        self.unreached, self.hushed, self.warned_at = False, False, -inf
         self.spare: list[float] = []
 
     def update(self, listing: Listing, now: float) -> None:
@@ -166,6 +169,7 @@
         self.best_payoff = max(c.payoff for c in terms.categories)
         self.mean_payoff = sum(c.payoff for c in terms.categories) / len(terms.categories)
         self.latency = Histogram(0.25, 1.4, 16, 2000)
+        self.beyond = Histogram(0.25, 1.4, 12, 400, now)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
         self.patience = {c: 0.0 for c in terms.categories}
         self.asked = dict.fromkeys(terms.customers, 0.0)
@@ -177,7 +181,7 @@
         self.heard_at = -inf
         self.untold: dict[Upstream, None] = {}
         self.unwarned: dict[Upstream, None] = {}
-        self.lost: dict[Upstream, None] = {}
+        self.lost: dict[Upstream, int] = {}
         self.trials = 1.0
         self.tagged: dict[int, Upstream] = {}
         self.suspects: dict[Upstream, None] = {}
@@ -342,8 +346,14 @@
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
         left = (due - (self.now - wi.arrived)) * FIT * stake
         typical = self._typical(wi.category)
-        near_enough = due / -log(min(max(self.terms.crossing_price, 1e-9), 0.5))
+        near_enough, open_enough = (
+            due / -log(min(max(price, 1e-9), 0.5))
+            for price in (self.terms.crossing_price, self.terms.connecting_price)
+        )
         self._plan_afresh()
+        if self.near and self.far:
+            # Guards against crossing for an answer that would come no sooner.
+            near_enough = max(near_enough, typical * self._way(self.far[0]))
         self._forget_old_counts()
         choice: list[tuple[Upstream, float, float]] = []
         for side in (self.near, self.far):
@@ -360,7 +370,7 @@
                     continue
                 load = self._load(u)
                 relative = self._relative(u)
-                expected = typical * relative * (1 + load)
+                expected = self._expected(u, wi)
                 line = LINE * max(1.0, 1 / self._small(u)) ** 0.5
                 # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
                 # what it has once nothing of its own is out.
@@ -373,6 +383,11 @@
                 break
         if not choice:
             return None
+        # Guards against paying for a new connection where one that is open and free does as well.
+        if self.terms.connecting_price and (
+            ready := [c for c in choice if self._open(c[0]) and c[2] <= open_enough]
+        ):
+            choice = ready
         return self.chance.choices([c[0] for c in choice], [c[1] for c in choice])[0]
 
     def _ready(self) -> int:
@@ -458,12 +473,29 @@
         fits = self._load(best) < LINE or self._expected(best, wi) < due * FIT * stake
         return best if fits else None
 
+    def _open(self, u: Upstream) -> bool:
+        """An idle connection to it is still there."""
+        return bool(u.spare) and u.spare[-1] > self.now - KEPT * self.terms.keep_idle
+
     def _is_ready(self, u: Upstream) -> bool:
         """Guards against handing off to one that has left the list since it was asked."""
         return self.upstreams.get(u.address) is u and u.listing.condition is Condition.READY
 
     def _expected(self, u: Upstream, wi: WorkItem) -> float:
-        return self._typical(wi.category) * self._relative(u) * (1 + self._load(u))
+        return self._typical(wi.category) * self._relative(u) * self._stretch(u, self._load(u))
+
+    def _stretch(self, u: Upstream, load: float) -> float:
+        """How many times as long it takes as at an idle one of its like nearby: the way and what is ahead.
+
+        Guards against taking the way for work: where ways are long, a line costs less than an idle one's time
+        says, and an idle one far away is no sooner done than one nearby with a line.
+        """
+        return self._way(u) * (1 + AHEAD * load)
+
+    def _way(self, u: Upstream) -> float:
+        if not self.near or u.listing.zone == self.terms.zone:
+            return 1.0
+        return self.beyond.aged(self.now, self.renewal).mean(prior=1.0, doubt=8)
 
     def _tell(self) -> Steps:
         """Tell the peers what has changed of what we have out, within our part of what each may hear."""
@@ -475,8 +507,8 @@
         if self.may_tell >= 1:
             self.may_tell -= 1
             told = [(u.tag, WARNING) for u in self.unwarned]
-            told += [(u.tag, LOST) for u in self.lost]
-            told += [(u.tag, min(len(u.pending), LOST - 1)) for u in self.untold]
+            told += [(u.tag, word) for u, word in self.lost.items()]
+            told += [(u.tag, min(len(u.pending), UNSAID - 1)) for u in self.untold]
             self.unwarned.clear()
             self.lost.clear()
             self.untold.clear()
@@ -494,14 +526,14 @@
                 if u is not None:
                     self._warned(u)
                 continue
-            if n == LOST:
+            if n in (LOST, UNSAID):
                 lost.add(tag)
-                if u is not None and self._silent(u):
-                    self._set_aside(u)
+                if u is not None and n == LOST and self._silent(u):
+                    self._set_aside(u, hushed=True)
                 continue
             _, before = self.told.pop((peer, tag), (0.0, 0))
             if n < before and tag not in lost and u is not None:
-                u.answered = self.now
+                self._answered_elsewhere(u)
             if n:
                 self.told[peer, tag] = (self.now, n)
             self.counted[tag] = self.counted.get(tag, 0) + n - before
@@ -619,7 +651,7 @@
         """Only exclusive work can't be sent again after an error; other work goes there and tells on."""
         return self.now < u.warned_at + STALE * self.shortest
 
-    def _note(self, u: Upstream, bad: bool) -> None:
+    def _note(self, u: Upstream, bad: bool, hushed: bool = False) -> None:
         self.lately, self.noted_at = self.lately * self._faded(self.noted_at) + 1, self.now
         self.bad, self.outcomes = self.bad + bad, self.outcomes + 1
         if self.outcomes > max(8 * self._ready(), self.lately, 8):
@@ -639,19 +671,21 @@
         chance = (BY_CHANCE if u.unreached else self.bad / self.outcomes) ** u.failures
         # Guards against rows that are bound to come up where one upstream gets many hand-offs in a due time.
         if chance * max(1.0, self.lately / (STALE * self._ready() + 1)) <= BY_CHANCE or u.trickle < inf:
-            self._set_aside(u)
+            self._set_aside(u, hushed)
 
-    def _set_aside(self, u: Upstream) -> None:
+    def _answered_elsewhere(self, u: Upstream) -> None:
+        u.answered = self.now
+        if u.hushed and not u.unreached:
+            # Guards against each of many quiet sidecars having to find out for itself that it is back.
+            u.failures, u.aside_until, u.trickle, u.hushed = 0, -inf, inf, False
+
+    def _set_aside(self, u: Upstream, hushed: bool) -> None:
+        u.hushed = hushed
         u.pause = min(2 * u.pause, 2 * self.shortest) if u.trickle < inf else self.shortest / 2
         # Guards against all sidecars that heard of it trying it again in the same moment.
         u.aside_until = self.now + u.pause * (0.5 + self.chance.random())
         u.trickle = 1
 
-    def _unanswered(self, u: Upstream) -> None:
-        """Guards against each of many sidecars losing a hand-off of its own to what has fallen silent."""
-        if self.tells and self._silent(u):
-            self.lost[u] = None
-
     def settle(self, outcome: Outcome) -> None:
         ho, u = outcome.ho, outcome.ho.upstream
         u.pending.pop(ho, None)
@@ -662,15 +696,18 @@
             u.spare.append(self.now)
         u.unreached = outcome.fate is Fate.UNREACHED or (u.unreached and outcome.fate is Fate.FINISHED)
         self._read(u, outcome.report)
+        hushed = outcome.fate in (Fate.CANCELLED, Fate.OVERDUE) and self._silence(ho) > 0
+        if self.tells and outcome.fate not in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
+            # Guards against each of many sidecars losing a hand-off of its own to what has fallen silent.
+            lost = hushed or outcome.fate in (Fate.BROKEN, Fate.UNREACHED)
+            self.lost[u] = LOST if lost else self.lost.get(u, UNSAID)
         match outcome.fate:
             case Fate.FINISHED:
                 self._learn(ho, outcome.took)
                 u.answered, u.passed = self.now, max(u.passed, ho.sent)
                 self._note(u, bad=False)
             case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
-                self._note(u, bad=True)
-                if outcome.fate is Fate.UNREACHED:
-                    self._unanswered(u)
+                self._note(u, bad=True, hushed=outcome.fate is Fate.UNREACHED)
                 known = self.now < u.warned_at + self.shortest
                 # Guards against faults that any upstream has alike keeping exclusive work from half of them.
                 others = max(0.0, self.bad - u.failures) / self.outcomes
@@ -679,16 +716,18 @@
                     self.unwarned[u] = None
                     self._warned(u)
             case Fate.CANCELLED | Fate.OVERDUE:
-                if self._silence(ho) > 0:
-                    self._note(u, bad=True)
-                    self._unanswered(u)
+                if hushed:
+                    self._note(u, bad=True, hushed=True)
 
     def _learn(self, ho: HandOff, took: float) -> None:
         u, cat = ho.upstream, ho.wi.category
-        each = took / ((1 + ho.load) * self._small(u))
+        usual, way, small = self._typical(cat), self._way(u), self._small(u)
+        each = took / (self._stretch(u, ho.load) * small)
+        if self.near and u.listing.zone != self.terms.zone:
+            self.beyond.add(took * way / (usual * self._relative(u) * self._stretch(u, ho.load)))
         if u.pace is None:
             u.pace = Histogram(0.25, 2.0, 7, 24, self.now)
-        u.pace.add(each / self._typical(cat))
+        u.pace.add(each / usual)
         self.typical[cat].add(each)
         self.latency.add(took / self._typical(cat))
 
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -83,6 +83,7 @@
     fall_span: float
     most_hand_offs: int
     crossing_price: float
+    connecting_price: float = 0.0
     asking_price: float = 0.0
     telling_price: float = 0.0
     over_share_payoff: float = 1.0
--- a/starlingwheel/settings.py
+++ b/starlingwheel/settings.py
@@ -49,6 +49,7 @@
         "fall_span": _span(rules, "overloadFor"),
         "most_hand_offs": caps.get("mostHandOffs", 1),
         "crossing_price": charges.get("crossZone", 0.0),
+        "connecting_price": charges.get("handshake", 0.0),
         "asking_price": charges.get("probe", 0.0),
         "telling_price": charges.get("peer", 0.0),
         "asking_allowed": caps.get("probing", False),
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -3,7 +3,7 @@
 import pytest
 from conftest import BUY, LOOK
 
-from starlingwheel.decisions.rules import LOST
+from starlingwheel.decisions.rules import LOST, UNSAID
 from starlingwheel.decisions.terms import Condition, Fate, News
 
 TELLING = {"sidecars": 3, "peers_allowed": True}
@@ -274,3 +274,83 @@
     host.later(3.0)
     host.serve(100, took=0.01)
     assert len({ho.upstream for ho in host.sent[-40:]}) > 12
+
+
+def test_an_upstream_left_alone_for_silence_is_back_with_the_first_answer_a_peer_has_there(make_host):
+    host = make_host(**TELLING)
+    host.later(2.0)
+    u = host.runner.balancer.upstreams["u0"]
+    host.hears(1, u, 1)
+    host.hears(2, u, LOST)
+    assert u.trickle == 1
+    host.hears(1, u, 0)
+    host.serve(40, took=0.01, category=BUY)
+    assert u in {ho.upstream for ho in host.sent}
+
+
+def test_an_upstream_set_aside_for_errors_is_not_back_for_a_peers_answer(make_host):
+    host = make_host(**TELLING)
+    u = host.runner.balancer.upstreams["u0"]
+    host.serve(40, took=0.01)
+    while u.trickle == float("inf"):
+        for ho in [host.of(host.take())[0] for _ in range(4)]:
+            host.end(ho, Fate.ERROR if ho.upstream is u else Fate.FINISHED)
+    host.hears(1, u, 1)
+    host.hears(1, u, 0)
+    assert u.trickle == 1
+
+
+def test_a_count_that_falls_with_nothing_answered_is_not_taken_for_an_answer(make_host):
+    host = make_host(**TELLING)
+    host.later(2.0)
+    u = host.runner.balancer.upstreams["u0"]
+    tag = u.tag.to_bytes(2, "big")
+    host.hears(1, u, 1)
+    host.runner.heard(1, tag + bytes([UNSAID]) + tag + bytes([0]))
+    host.hears(2, u, LOST)
+    assert u.trickle == 1
+
+
+def test_hand_offs_cancelled_in_good_health_say_so_to_peers(make_host):
+    host = make_host(**TELLING, upstreams=2)
+    host.serve(110, took=0.05)
+    wi = host.take()
+    host.later(0.1)
+    first, copy = host.of(wi)
+    host.end(copy)
+    host.take()
+    assert first.upstream.tag.to_bytes(2, "big") + bytes([UNSAID]) in host.told[-1] + host.told[-2]
+
+
+def test_where_new_connections_have_a_price_open_ones_are_used_first(make_host):
+    used = {}
+    for price in (0.0, 0.1):
+        host = make_host(upstreams=12, crossing_price=0.01, connecting_price=price, keep_idle=5.0)
+        host.serve(200, took=0.05, category=BUY)
+        used[price] = len({ho.upstream for ho in host.sent[-100:]})
+    assert used[0.0] == 12 and used[0.1] <= 3
+
+
+def test_an_open_connection_to_a_busy_upstream_does_not_keep_work_from_others(make_host):
+    host = make_host(upstreams=4, connecting_price=0.1, keep_idle=5.0)
+    host.serve(20, took=0.1, category=BUY)
+    wis = [host.take(BUY) for _ in range(4)]
+    assert len({host.of(wi)[0].upstream for wi in wis}) > 2
+
+
+def test_nothing_crosses_for_an_answer_that_would_come_no_sooner(make_host):
+    host = make_host(upstreams=2)
+    host.listed(News.CHANGES, "u2", "u3", zone="there")
+    for _ in range(60):
+        for ho in [host.of(host.take(BUY))[0] for _ in range(4)]:
+            host.later(0.05 if ho.upstream.listing.zone == "here" else 0.25)
+            host.end(ho)
+    taken = [host.of(host.take(BUY))[0].upstream.listing.zone for _ in range(4)]
+    assert taken[:3] == ["here"] * 3
+
+
+def test_a_short_line_is_no_reason_to_turn_away_what_has_time_for_it(make_host):
+    host = make_host(upstreams=1)
+    host.serve(60, took=0.17, category=BUY)
+    host.take(BUY), host.take(BUY)
+    assert host.of(host.take(BUY))
