--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -485,12 +485,13 @@
         return self._typical(wi.category) * self._relative(u) * self._stretch(u, self._load(u))
 
     def _stretch(self, u: Upstream, load: float) -> float:
-        """How many times as long it takes as at an idle one of its like nearby: the way and what is ahead.
+        """How many times as long it takes as at an idle, warm one of its like nearby.
 
         Guards against taking the way for work: where ways are long, a line costs less than an idle one's time
-        says, and an idle one far away is no sooner done than one nearby with a line.
+        says, and an idle one far away is no sooner done than one nearby with a line. And against taking one
+        that is still cold for as quick as the others: what waits there comes too late.
         """
-        return self._way(u) * (1 + AHEAD * load)
+        return self._way(u) * (1 + AHEAD * load) / self._warmth(u)
 
     def _way(self, u: Upstream) -> float:
         if not self.near or u.listing.zone == self.terms.zone:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -354,3 +354,11 @@
     host.serve(60, took=0.17, category=BUY)
     host.take(BUY), host.take(BUY)
     assert host.of(host.take(BUY))
+
+
+def test_nothing_waits_in_line_at_an_upstream_that_is_still_cold(make_host):
+    host = make_host(upstreams=1)
+    host.serve(40, took=0.12, category=BUY)
+    host.listed(News.CHANGES, "u0", started=host.runner.now)
+    sent = [len(host.of(host.take(BUY))) for _ in range(3)]
+    assert sent == [1, 0, 0]
