--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -64,6 +64,7 @@
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 LONGEST = 256  # bytes that a message holds, and that its price is for
+SEEN = 4.0  # answers elsewhere that weigh as much as the doubt about an upstream's times
 AHEAD = 0.5  # what a work item ahead adds to an answer, as a part of that: it is half done by the mean
 COUNT = 3  # bytes that a peer's count takes
 KEPT = 0.75  # part of the time that idle connections are kept for which they are counted on
@@ -124,6 +125,24 @@
         return edge
 
 
+class Flow:
+    """What was out, times how long, and how many answers came; both fade. Divided, an answer's time."""
+
+    __slots__ = ("out", "answers", "span", "at")
+
+    def __init__(self, now: float) -> None:
+        self.out = self.answers = self.span = 0.0
+        self.at = now
+
+    def add(self, now: float, half: float, out: float, answers: float = 0.0) -> Flow:
+        gone, self.at = now - self.at, now
+        faded = 0.5 ** (gone / half)
+        self.out = self.out * faded + out * gone
+        self.answers = self.answers * faded + answers
+        self.span = self.span * faded + gone
+        return self
+
+
 class Upstream:
     """What this sidecar knows of one upstream."""
 
@@ -141,6 +160,7 @@
     def forget(self, now: float) -> None:
         """Nothing is known yet of the process that runs there."""
         self.pace: Histogram | None = None
+        self.flow = Flow(now)
         self.sends: list[float] = []
         self.turn: float = now
         self.phase: float | None = None
@@ -179,6 +199,7 @@
         self.told: dict[tuple[int, int], tuple[float, int]] = {}
         self.counted: dict[int, int] = {}
         self.heard_at = -inf
+        self.flow, self.elsewhere = Flow(now), 0.0
         self.untold: dict[Upstream, None] = {}
         self.unwarned: dict[Upstream, None] = {}
         self.lost: dict[Upstream, int] = {}
@@ -302,7 +323,7 @@
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
         ready = self._ready()
-        elsewhere = sum(self.counted.values()) if self._peers_heard() else self._mean_elsewhere() * ready
+        elsewhere = self.elsewhere if self._peers_heard() else self._mean_elsewhere() * ready
         return elsewhere + self.out > LINE * 2 / 3 * ready
 
     # Rule 2.
@@ -537,7 +558,10 @@
                 self._answered_elsewhere(u)
             if n:
                 self.told[peer, tag] = (self.now, n)
+            if u is not None:
+                self._flowed(u, 0 if tag in lost else max(0, before - n))
             self.counted[tag] = self.counted.get(tag, 0) + n - before
+            self.elsewhere += n - before
             self.heard_at = self.now
 
     def _peers_heard(self) -> bool:
@@ -554,6 +578,27 @@
                 return
             del self.told[peer, tag]
             self.counted[tag] -= n
+            self.elsewhere -= n
+
+    def _flowed(self, u: Upstream, answers: float = 0.0) -> None:
+        half = STALE * self.shortest
+        u.flow.add(self.now, half, self.counted.get(u.tag, 0), answers)
+        self.flow.add(self.now, half, self.elsewhere, answers)
+
+    def _told_pace(self, u: Upstream) -> float:
+        """An upstream's times against those of all, by the counts that peers tell.
+
+        Guards against a slow upstream having to be found by each of many sidecars that see little of it.
+        """
+        if not self._peers_heard() or self.flow.answers < SEEN:
+            return 1.0
+        self._flowed(u)
+        mean = self.flow.out / self.flow.answers
+        time = (u.flow.out + SEEN * mean) / (u.flow.answers + SEEN)
+        line = u.flow.out / (u.flow.span or 1.0)
+        usual = self.flow.out / self.flow.span / max(1, self._ready())
+        alone = time / mean * (1 + AHEAD * usual) / (1 + AHEAD * line)
+        return alone * self._warmth(u) / self._small(u)
 
     def _typical(self, category: Category) -> float:
         return self.typical[category].aged(self.now, self.renewal).mean(prior=self.shortest / 8, doubt=4)
@@ -597,7 +642,8 @@
 
     def _slowness(self, u: Upstream) -> float:
         """Its times against those of its like; two answers' weight of doubt."""
-        return 1.0 if u.pace is None else u.pace.aged(self.now, self.renewal).mean(prior=1.0, doubt=2)
+        told = self._told_pace(u)
+        return told if u.pace is None else u.pace.aged(self.now, self.renewal).mean(prior=told, doubt=2)
 
     def _relief(self, wi: WorkItem) -> float:
         # Guards against clients deferred together coming back together.
@@ -633,8 +679,9 @@
 
     def _silence(self, ho: HandOff) -> float:
         """How much longer its upstream has answered nothing than it should have taken."""
-        expected = self._typical(ho.wi.category) * (1 + ho.load)
-        return self.now - max(ho.sent, ho.upstream.answered) - SILENT * expected
+        expected, u = self._typical(ho.wi.category) * (1 + ho.load), ho.upstream
+        # Guards against holding against a process what the one before it at that address left unanswered.
+        return self.now - max(ho.sent, u.answered, u.started or -inf) - SILENT * expected
 
     def _warned(self, u: Upstream) -> None:
         """A hand-off has failed there, ours or a peer's.
--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -136,6 +136,10 @@
             self.version = 0
             self.node.log("list.unreadable", error=str(error))
             raise Lost("unreadable") from error
+        if word.version < self.version and not word.full:
+            # Guards against changes out of order putting back what has left: the whole is asked for.
+            self.version = 0
+            raise Lost("went-back")
         self.version = word.version
         self.node.log("list.news", version=word.version, full=word.full, entries=len(word.servers))
         self.node.list.post(Said(self, word))
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -118,6 +118,42 @@
     assert around.logged("list.end")[0]["reason"] == "silent"
 
 
+def test_a_list_that_stalls_half_way_through_a_line_is_dead_and_the_line_is_not_believed(around, monkeypatch):
+    monkeypatch.setattr(discovery, "EMPTY_LINE", 0.05)
+    watch, _ = around.watch(b"")
+    half = msgspec.json.encode({"version": 8, "servers": [around.entry(0, state="leaving")]})[:-9]
+    watch.sendall(b"%x\r\n%s\r\n" % (len(half), half))
+    _, target = around.watch(b"")
+    assert target.endswith(b"from=7") and around.logged("list.end")[0]["reason"] == "silent"
+    serve(around, around.client())
+
+
+def test_changes_that_go_back_in_version_are_not_believed_and_the_whole_is_asked_for(make_surroundings):
+    around = make_surroundings(upstreams=2)
+    watch, _ = around.watch({"version": 9, "servers": [around.entry(0, state="leaving")]})
+    around.until(lambda: around.node.list.version == 9)
+    around.say(watch, {"version": 8, "servers": [around.entry(0)]})
+    _, target = around.watch({"version": 3, "full": True, "servers": [around.entry(1)]})
+    assert target.endswith(b"from=0") and around.logged("list.end")[0]["reason"] == "went-back"
+    around.until(lambda: around.node.list.version == 3)
+    assert list(around.node.module.upstreams) == ["s1"]
+
+
+def test_a_known_list_of_which_nothing_is_left_costs_prompt_deferrals_until_the_list_speaks(
+    make_surroundings,
+):
+    around = make_surroundings(upstreams=3)
+    for listener in around.listeners[:2]:
+        listener.close()
+    around.listeners[2].close()
+    around.listeners.append(around.keep(bound()))
+    for _ in range(4):
+        assert around.status(around.ask("buy", b"one", connection="close")) == 503
+    around.watch({"version": 9, "full": True, "servers": [around.entry(3)]})
+    around.until(lambda: list(around.node.module.upstreams) == ["s3"])
+    serve(around, around.client(), i=3)
+
+
 def test_nothing_is_kept_of_thousands_of_upstreams_that_have_left(around):
     watch, _ = around.watch(b"")
     node, balancer = around.node, around.node.module.runner.balancer
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -362,3 +362,55 @@
     host.listed(News.CHANGES, "u0", started=host.runner.now)
     sent = [len(host.of(host.take(BUY))) for _ in range(3)]
     assert sent == [1, 0, 0]
+
+
+def test_what_the_process_before_left_unanswered_is_not_held_against_the_one_that_came_back(make_host):
+    host = make_host(upstreams=1, **TELLING)
+    host.serve(40, took=0.01)
+    old = host.of(host.take(BUY))[0]
+    host.later(0.8)
+    u = old.upstream
+    assert not host.of(host.take(BUY))  # silent
+    host.listed(News.CHANGES, "u0", started=host.runner.now)
+    host.later(0.02)
+    host.end(old, Fate.OVERDUE)
+    assert host.of(host.take(BUY)) and u.failures == 0
+    assert u.tag.to_bytes(2, "big") + bytes([LOST]) not in b"".join(host.told)
+
+
+def test_words_about_an_upstream_not_yet_listed_are_no_reason_to_leave_it_alone(make_host):
+    host = make_host(upstreams=2, **TELLING)
+    later = make_host(upstreams=0, **TELLING)
+    u = host.runner.balancer.upstreams["u1"]
+    later.hears(1, u, LOST)
+    later.hears(1, u, 255)
+    later.hears(2, u, 1)
+    later.listed(News.WHOLE, "u1")
+    assert later.of(later.take(BUY))
+
+
+def tell_of(host, times):
+    """Peers tell of work at each upstream, one after another; each takes as long as it says."""
+    balancer = host.runner.balancer
+    ends = []
+    for round in range(100):
+        at = round * 0.05
+        for name, time in times.items():
+            if round * 0.05 % time < 0.05:
+                ends.append((at, name, 1))
+                ends.append((at + time * 0.99, name, 0))
+    begin = host.runner.now
+    for at, name, n in sorted(ends):
+        host.later(max(0.0, begin + at - host.runner.now))
+        host.hears(1, balancer.upstreams[name], n)
+
+
+def test_a_slow_upstream_is_known_by_the_counts_that_peers_tell(make_host):
+    host = make_host(upstreams=6, **TELLING)
+    tell_of(host, {"u0": 0.5} | {f"u{i}": 0.1 for i in range(1, 6)})
+    slow = host.runner.balancer.upstreams["u0"]
+    assert host.runner.balancer._told_pace(slow) > 2
+    sent = len(host.sent)
+    for _ in range(60):
+        host.end(host.of(host.take())[0])
+    assert sum(ho.upstream is slow for ho in host.sent[sent:]) < 6
