--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -7,7 +7,7 @@
 does no harm, hands a copy to the next one once `_delay` has passed; the first to finish wins.
 
 Beside it: 1 set-aside (failures in a row, doubling trickle, open connections go on), 2 cold budget, 3 fit (no
-piling up; least worth deferred first), 4 near and open first (crossings, connections priced), 5 observed pace,
+piling up; least worth deferred first), 4 near and open first (priced), 5 observed pace,
 6 word from elsewhere (load, silence and pace told by peers, or load asked for, by price; warnings of errors).
 
 What one event costs depends neither on the size of the fleet nor on the number of sidecars, and what is not
