--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -134,13 +134,12 @@
         self.out = self.answers = self.span = 0.0
         self.at = now
 
-    def add(self, now: float, half: float, out: float, answers: float = 0.0) -> Flow:
+    def add(self, now: float, half: float, out: float, answers: float = 0.0) -> None:
         gone, self.at = now - self.at, now
         faded = 0.5 ** (gone / half)
         self.out = self.out * faded + out * gone
         self.answers = self.answers * faded + answers
         self.span = self.span * faded + gone
-        return self
 
 
 class Upstream:
