--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -262,6 +262,8 @@
                 if self.now >= copy_at:
                     # Guards against copies of what is merely heavy: later ones passed it at its server.
                     wanted = handed[-1].upstream.passed < handed[-1].sent and not self._crowded()
+                    # Guards against a copy after repeats are forgotten: the wait for it may have been long.
+                    wanted = wanted and self._may_send(wi, handed)
                     copies, delays = copies + wanted, delays + 1
                 continue
             yield from self._tell()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -85,6 +85,14 @@
     assert len(host.of(wi)) == 1 and host.answers(wi) == ["deferred"]
 
 
+def test_no_copy_once_repeats_are_forgotten_while_it_waited(make_host):
+    move = type(MOVE)("move", MOVE.effect, 1.0, 8.0, 9.0, memory=0.3, late_payoff=0.25)
+    host = make_host(categories=[move])
+    wi = host.take(move, patience=8.0)
+    host.later(7.5)
+    assert len(host.of(wi)) == 1
+
+
 def test_work_is_given_up_with_the_due_time_and_not_sat_on(host):
     look, buy = host.take(), host.take(BUY)
     host.later(1.0)
