--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -49,19 +49,23 @@
 )
 
 HIGH = 0.98  # the percentile of healthy answers after which a copy goes out
+ENOUGH = 32  # answers up to which those of a category are kept, however old
 LEARNED = 100  # answers before the percentile is believed
-UNLEARNED = 4.0  # times the due time: the delay until then
+UNLEARNED = 0.5  # of the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
-FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
+FIT = 0.6  # share of the due time that the expected answer may take, for the best payoff
 LINE = 2.5  # work items at an upstream of mean size past which more would only wait, or make it choke
+LATE = 3.0  # times that, where only the list tells of them
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
+FAILING = 0.2  # errors a second that an upstream tells of, of its work items a second, that set it aside
 TRUSTED = 4  # hand-offs at a time at which the trickle ends
 SILENT = 3.0  # times the expected answer after which a silent upstream counts as failing
 CAREFUL = 0.6  # share of the cold budget that is used
 BEYOND = 1.5  # times the middle customer's use of its share past which a customer's is taken to be used up
 STALE = 4.0  # shortest due times by which what was seen counts half
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
+SUBSET = 4  # upstreams of a side that are drawn from, where an open connection has a price
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 LONGEST = 256  # bytes that a message holds, and that its price is for
 SEEN = 4.0  # answers elsewhere that weigh as much as the doubt about an upstream's times
@@ -153,6 +157,7 @@
         self.report: tuple[float, float] | None = None
         self.answered = now
         self.passed = -inf
+        self.size = 0.0
         self.forget(now)
         self.update(listing, now)
 
@@ -167,8 +172,13 @@
         self.unreached, self.hushed, self.warned_at = False, False, -inf
         self.spare: list[float] = []
 
-    def update(self, listing: Listing, now: float) -> None:
+    def rank(self, salt: int) -> int:
+        return zlib.crc32(self.address.encode(), salt * 2654435761 & 0xFFFFFFFF)
+
+    def update(self, listing: Listing, now: float, moving: bool = False) -> None:
         self.listing = listing
+        # A size that moves is the true one over one plus what is held: the most ever listed is nearest to it.
+        self.size = max(self.size, listing.size) if moving else listing.size
         if listing.started != self.started:
             # Guards against trusting what was learned of the process before the restart.
             self.started = listing.started
@@ -195,6 +205,7 @@
         self.asked_until = now
         self.mean_size = 1.0
         self.reported, self.reports, self.reported_at = 0.0, 0.0, now
+        self.held, self.busy, self.at_once = 0.0, 0.0, 1.0
         self.told: dict[tuple[int, int], tuple[float, int]] = {}
         self.counted: dict[int, int] = {}
         self.heard_at = -inf
@@ -203,6 +214,9 @@
         self.unwarned: dict[Upstream, None] = {}
         self.lost: dict[Upstream, int] = {}
         self.trials = 1.0
+        self.subset = SUBSET if terms.keeping_price else 0
+        # Where only the list tells of lines, all see them late and alike: they are longer, and vary more.
+        self.line = LINE * (LATE if terms.sizes_move else 1)
         self.tagged: dict[int, Upstream] = {}
         self.suspects: dict[Upstream, None] = {}
         self.may_tell, self.told_at = AT_ONCE, now
@@ -239,7 +253,7 @@
                     self.trials = min(1.0, self.trials + self.trial) - (upstream.trickle < inf)
                     if self._warmth(upstream) < 1:
                         upstream.sends.append(self.now)
-                    if upstream.spare:
+                    if upstream.spare and self.terms.streams == 1:
                         upstream.spare.pop()
                     handed.append(ho)
                     yield from self._tell()
@@ -326,7 +340,7 @@
         """No copies while all are slow or full: there is no spare room to absorb them."""
         ready = self._ready()
         elsewhere = self.elsewhere if self._peers_heard() else self._mean_elsewhere() * ready
-        return elsewhere + self.out > LINE * 2 / 3 * ready
+        return elsewhere + self.out > self.line * 2 / 3 * ready
 
     # Rule 2.
 
@@ -369,8 +383,9 @@
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
         left = (due - (self.now - wi.arrived)) * FIT * stake
         typical = self._typical(wi.category)
+        worth = wi.category.payoff / self.mean_payoff
         near_enough, open_enough = (
-            due / -log(min(max(price, 1e-9), 0.5))
+            due / -log(min(max(price / worth, 1e-9), 0.5))
             for price in (self.terms.crossing_price, self.terms.connecting_price)
         )
         self._plan_afresh()
@@ -385,29 +400,34 @@
                 pool = [u for u in side if u.listing.zone == risky.zone]
             elif kind is Group.CELL:
                 pool = [u for u in side if u.listing.cell == risky.cell]
-            looked = self.chance.sample(pool, LOOKS) if len(pool) > LOOKS else pool
+            looked = pool[:LOOKS] if self.subset or len(pool) <= LOOKS else self.chance.sample(pool, LOOKS)
+            found: list[tuple[Upstream, float, float]] = []
+            seen = 0
             for u in looked:
-                if u in used:
-                    continue
-                if not self._trusted(u, wi) or not self._within_cold_budget(u):
+                if seen == self.subset > 0:
+                    break
+                if u in used or not self._trusted(u, wi) or not self._within_cold_budget(u):
                     continue
-                load = self._load(u)
-                relative = self._relative(u)
-                expected = self._expected(u, wi)
-                line = LINE * max(1.0, 1 / self._small(u)) ** 0.5
+                seen += 1
+                load, relative, small = self._load(u), self._relative(u), self._small(u)
+                expected = typical * relative * self._stretch(u, load)
+                line = self.line * max(1.0, 1 / small) ** 0.5
                 # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
                 # what it has once nothing of its own is out.
-                if load >= 1 and (expected > left or load >= line) and self.out and not full:
+                heard = self.out or self.terms.sizes_move
+                if load >= 1 and (expected > left or load >= line) and heard and not full:
                     continue
-                weight = self._warmth(u) / ((1 + load) * relative) * len(pool) / len(looked)
-                choice.append((u, weight, expected))
+                found.append((u, self._warmth(u) / ((1 + load) * relative), expected))
+            if found:
+                seen = len(found) if self.subset else len(looked)
+                choice += [(u, weight * len(pool) / seen, expected) for u, weight, expected in found]
             if side is self.near and (near := [c for c in choice if c[2] <= near_enough]):
                 choice = near
                 break
         if not choice:
             return None
         # Guards against paying for a new connection where one that is open and free does as well.
-        if self.terms.connecting_price and (
+        if self.terms.connecting_price and not self.subset and (
             ready := [c for c in choice if self._open(c[0]) and c[2] <= open_enough]
         ):
             choice = ready
@@ -420,13 +440,17 @@
     def _plan_afresh(self) -> None:
         if self.stale_plan:
             self.stale_plan = False
-            every = sorted(self.upstreams.values(), key=lambda u: u.address)
+            # Guards against more connections than upstreams accept, where sidecars are many: where an open one
+            # has a price, each draws from the first that are ready in an order of its own.
+            salt = self.terms.number
+            order = (lambda u: (u.rank(salt), u.address)) if self.subset else (lambda u: u.address)
+            every = sorted(self.upstreams.values(), key=order)
             ready = [u for u in every if u.listing.condition is Condition.READY]
             self.tagged = {u.tag: u for u in self.upstreams.values()}
             self.counted = {tag: n for tag, n in self.counted.items() if n}
             self.near = [u for u in ready if u.listing.zone == self.terms.zone]
             self.far = [u for u in ready if u.listing.zone != self.terms.zone]
-            self.mean_size = sum(u.listing.size for u in every) / len(every) if every else 1.0
+            self.mean_size = sum(u.size for u in every) / len(every) if every else 1.0
 
     # What others have out: peers tell of it, or the upstreams are asked.
 
@@ -436,8 +460,7 @@
         heard = 2 * MESSAGE * (terms.sidecars - 1) / LONGEST * terms.telling_price
         questions = sum(min(2, self._paid_for(c)) for c in terms.categories) / len(terms.categories)
         asked = terms.asking_price * questions
-        # Where reports are old, answers tell little of the lines, and counts may cost more.
-        most = 1.5 * GAIN if terms.told_with_answers or not terms.asking_allowed else asked
+        most = asked if terms.asking_allowed else 1.5 * GAIN
         tells = terms.peers_allowed and terms.sidecars > 1 and heard <= most
         return tells, terms.asking_allowed and not tells
 
@@ -449,24 +472,19 @@
 
     def _questions(self, category: Category) -> int:
         """How many upstreams are asked, at most."""
-        if not self.asks:
-            return 0
-        most = (2 if self._crowded() else 4) if self.terms.told_with_answers else 3
-        return min(most, self._paid_for(category, self._mean_elsewhere()))
+        return min(3, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
-        """Ask the first few of the plan; the one that is free soonest gets the work item."""
+        """Ask the first few of the plan, one at a time, until one is free; that one gets the work item."""
         asked: list[Upstream] = []
         good: list[Upstream] = []
-        late = self.terms.told_with_answers
-        # Fresh figures are asked for one at a time, until one is free; of old ones, the first to answer is.
         # In a crowded fleet none is free: one with less than the others have is enough.
         enough = max(1.0, self._mean_elsewhere())
-        waiting, at_once, pause = 0, 2 if late else 1, due * stake / 8 if late else self.shortest / 32
+        waiting = 0
         # Guards against asking on while the client's patience runs out.
         until = min(until, self.now + due * stake / 4)
-        while self.now < until and not (good and late) and not any(self._load(u) < enough for u in good):
-            if waiting < at_once and len(asked) < most:
+        while self.now < until and not any(self._load(u) < enough for u in good):
+            if waiting < 1 and len(asked) < most:
                 u = self._draw(wi, [], due, stake, asked, full=True)
                 if u is not None:
                     fresh = u.report is not None and u.report[1] > self.now - self.shortest / 2
@@ -478,7 +496,7 @@
                     continue
             if not waiting:
                 break
-            event = yield Wait(until if len(asked) == most else min(until, self.now + pause))
+            event = yield Wait(until if len(asked) == most else min(until, self.now + self.shortest / 32))
             if event is GONE:
                 return GONE
             yield from self._tell()
@@ -487,12 +505,8 @@
             if isinstance(event, Asked) and event.fate is Fate.FINISHED and self._is_ready(event.upstream):
                 good.append(event.upstream)
         if not good:
-            # Guards against a jam that never ends because each idle sidecar goes on sending into it: where
-            # questions wait in line, no answer means that the lines are too long.
-            return None if late else self._draw(wi, [], due, stake, asked)
+            return self._draw(wi, [], due, stake, asked)
         best = min(good, key=lambda u: self._expected(u, wi))
-        if late:
-            return best
         fits = self._load(best) < LINE or self._expected(best, wi) < due * FIT * stake
         return best if fits else None
 
@@ -603,25 +617,31 @@
         return alone * self._warmth(u) / self._small(u)
 
     def _typical(self, category: Category) -> float:
-        return self.typical[category].aged(self.now, self.renewal).mean(prior=self.shortest / 8, doubt=4)
+        # Guards against a quiet sidecar knowing nothing but what it saw in the last few due times.
+        times = self.typical[category]
+        times = times.aged(self.now, self.renewal) if times.total > ENOUGH else times
+        return times.mean(prior=category.due_time / 8, doubt=4)
 
     def _small(self, u: Upstream) -> float:
         """How many of it make one of mean size."""
-        return self.mean_size / max(u.listing.size, 1e-9)
+        return self.mean_size / max(u.size, 1e-9)
 
     def _relative(self, u: Upstream) -> float:
         """Its times against those of a usual upstream of mean size."""
         return self._slowness(u) * self._small(u)
 
     def _load(self, u: Upstream) -> float:
-        return self._elsewhere(u) + len(u.pending)
+        return self._elsewhere(u) + len(u.pending) / self.at_once
 
     def _elsewhere(self, u: Upstream) -> float:
         """The last report, pulled to the mean as it ages; with peers' counts, those."""
         if self._peers_heard():
             return float(self.counted.get(u.tag, 0))
         mean = self._mean_elsewhere()
-        value, at = u.report or (mean, self.now)
+        if self.terms.sizes_move:
+            value, at = u.size / max(u.listing.size, 1e-9) - 1, self.reported_at
+        else:
+            value, at = u.report or (mean, self.now)
         return mean + (value - mean) * 0.5 ** ((self.now - at) / self.shortest)
 
     def _mean_elsewhere(self) -> float:
@@ -634,12 +654,19 @@
         return 0.5 ** ((self.now - since) / STALE / self.shortest)
 
     def _read(self, u: Upstream, report: dict[str, float]) -> None:
+        held, busy = report.get("held"), report.get("busy", 0.0)
+        if held and 0.1 < busy < 0.9:
+            # Guards against taking upstreams that do several work items at a time for full ones.
+            self.held, self.busy = self.held + held, self.busy + busy
+            if self.busy > ENOUGH / 8:
+                self.at_once = max(1.0, self.held / self.busy)
         for figure in ("held", "waiting", "busy"):
-            if figure in report:
+            if figure in report and not self.terms.sizes_move:
+                value = report[figure] / self.at_once
                 faded = self._faded(self.reported_at)
-                self.reported = self.reported * faded + report[figure]
+                self.reported = self.reported * faded + value
                 self.reports, self.reported_at = self.reports * faded + 1, self.now
-                u.report = (report[figure], self.now)
+                u.report = (value, self.now)
                 return
 
     def _slowness(self, u: Upstream) -> float:
@@ -701,7 +728,7 @@
         """Only exclusive work can't be sent again after an error; other work goes there and tells on."""
         return self.now < u.warned_at + STALE * self.shortest
 
-    def _note(self, u: Upstream, bad: bool, hushed: bool = False) -> None:
+    def _note(self, u: Upstream, bad: bool, hushed: bool = False, told: bool = False) -> None:
         self.lately, self.noted_at = self.lately * self._faded(self.noted_at) + 1, self.now
         self.bad, self.outcomes = self.bad + bad, self.outcomes + 1
         if self.outcomes > max(8 * self._ready(), self.lately, 8):
@@ -720,7 +747,8 @@
         # One that can't be reached is not condemned by it: what runs over open connections goes on.
         chance = (BY_CHANCE if u.unreached else self.bad / self.outcomes) ** u.failures
         # Guards against rows that are bound to come up where one upstream gets many hand-offs in a due time.
-        if chance * max(1.0, self.lately / (STALE * self._ready() + 1)) <= BY_CHANCE or u.trickle < inf:
+        chance *= max(1.0, self.lately / (STALE * self._ready() + 1))
+        if chance <= BY_CHANCE or u.trickle < inf or told:
             self._set_aside(u, hushed)
 
     def _answered_elsewhere(self, u: Upstream) -> None:
@@ -743,9 +771,14 @@
             self.untold[u] = None
         self.out -= 1
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
-            u.spare.append(self.now)
+            # Where a connection carries many, one that answers is open for whatever comes next.
+            u.spare = [*(u.spare if self.terms.streams == 1 else ()), self.now]
+        elif self.terms.streams > 1 and outcome.fate in (Fate.BROKEN, Fate.UNREACHED):
+            u.spare = []
         u.unreached = outcome.fate is Fate.UNREACHED or (u.unreached and outcome.fate is Fate.FINISHED)
         self._read(u, outcome.report)
+        # Guards against a quiet sidecar having to see for itself the row of failures that others have seen.
+        told = outcome.report.get("failing", 0.0) > FAILING * outcome.report.get("served", 0.0)
         hushed = outcome.fate in (Fate.CANCELLED, Fate.OVERDUE) and self._silence(ho) > 0
         if self.tells and outcome.fate not in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             # Guards against each of many sidecars losing a hand-off of its own to what has fallen silent.
@@ -755,9 +788,9 @@
             case Fate.FINISHED:
                 self._learn(ho, outcome.took)
                 u.answered, u.passed = self.now, max(u.passed, ho.sent)
-                self._note(u, bad=False)
+                self._note(u, bad=told, told=told)
             case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
-                self._note(u, bad=True, hushed=outcome.fate is Fate.UNREACHED)
+                self._note(u, bad=True, hushed=outcome.fate is Fate.UNREACHED, told=told)
                 known = self.now < u.warned_at + self.shortest
                 # Guards against faults that any upstream has alike keeping exclusive work from half of them.
                 others = max(0.0, self.bad - u.failures) / self.outcomes
@@ -796,7 +829,7 @@
             return True
         if u.phase is None:
             u.phase = self.chance.random()
-        each = max(self._typical(c) for c in self.terms.categories) * self._small(u)
+        each = max(self._typical(c) for c in self.terms.categories) * self._small(u) / self.at_once
         rate = CAREFUL * self.terms.fall_multiple * warmth / each / self.terms.sidecars
         span = max(self.terms.fall_span, 1 / rate)
         # Guards against hundreds of sidecars that each send the first of their part at once: where a part is
@@ -811,18 +844,28 @@
     def listed(self, news: News, listings: list[Listing]) -> None:
         if news is News.FAILED:
             return
-        self.stale_plan = True
         if news is News.WHOLE:
+            self.stale_plan = True
             named = {entry.address for entry in listings}
             for address in [a for a in self.upstreams if a not in named]:
                 del self.upstreams[address]
+        moving = self.terms.sizes_move
         for entry in listings:
-            if entry.condition is Condition.GONE:
+            known = self.upstreams.get(entry.address)
+            if known is None or entry.condition is Condition.GONE:
+                self.stale_plan = True
                 self.upstreams.pop(entry.address, None)
-            elif known := self.upstreams.get(entry.address):
-                known.update(entry, self.now)
-            else:
-                self.upstreams[entry.address] = Upstream(entry, self.now)
+                if entry.condition is not Condition.GONE:
+                    self.upstreams[entry.address] = Upstream(entry, self.now)
+                continue
+            before = known.listing
+            if not moving or (entry.condition, entry.started) != (before.condition, before.started):
+                self.stale_plan = True
+            known.update(entry, self.now, moving)
+        if moving:
+            # What is not listed anew has not changed: it counts as said again.
+            self.reported_at, self.reports = self.now, len(self.upstreams)
+            self.reported = sum(u.size / max(u.listing.size, 1e-9) - 1 for u in self.upstreams.values())
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
         u = self.upstreams.get(address)
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -84,6 +84,9 @@
     most_hand_offs: int
     crossing_price: float
     connecting_price: float = 0.0
+    keeping_price: float = 0.0
+    streams: int = 1
+    sizes_move: bool = False
     asking_price: float = 0.0
     telling_price: float = 0.0
     over_share_payoff: float = 1.0
--- a/starlingwheel/settings.py
+++ b/starlingwheel/settings.py
@@ -16,6 +16,10 @@
     "queue": "waiting",
     "cpu_share": "busy",
     "util": "busy",
+    "served_ps": "served",
+    "qps": "served",
+    "failed_ps": "failing",
+    "eps": "failing",
 }
 
 
@@ -50,6 +54,9 @@
         "most_hand_offs": caps.get("mostHandOffs", 1),
         "crossing_price": charges.get("crossZone", 0.0),
         "connecting_price": charges.get("handshake", 0.0),
+        "keeping_price": charges.get("connection", 0.0),
+        "streams": caps.get("streamsPerConn", 1),
+        "sizes_move": given.get("weightKind") == "live",
         "asking_price": charges.get("probe", 0.0),
         "telling_price": charges.get("peer", 0.0),
         "asking_allowed": caps.get("probing", False),
