--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -65,6 +65,7 @@
 BEYOND = 1.5  # times the middle customer's use of its share past which a customer's is taken to be used up
 STALE = 4.0  # shortest due times by which what was seen counts half
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
+WIDE = 2  # times as many that it may draw from while some of them are not ready
 SUBSET = 4  # upstreams of a side that are drawn from, where an open connection has a price
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 LONGEST = 256  # bytes that a message holds, and that its price is for
@@ -149,7 +150,7 @@
 class Upstream:
     """What this sidecar knows of one upstream."""
 
-    def __init__(self, listing: Listing, now: float) -> None:
+    def __init__(self, listing: Listing, now: float, users: float) -> None:
         self.address = listing.address
         self.tag = zlib.crc32(listing.address.encode()) & 0xFFFF
         self.started: float | None = None
@@ -157,7 +158,7 @@
         self.report: tuple[float, float] | None = None
         self.answered = now
         self.passed = -inf
-        self.size = 0.0
+        self.size, self.place, self.users = 0.0, 0, users
         self.forget(now)
         self.update(listing, now)
 
@@ -215,6 +216,7 @@
         self.lost: dict[Upstream, int] = {}
         self.trials = 1.0
         self.subset = SUBSET if terms.keeping_price else 0
+        self.width = WIDE * self.subset
         # Where only the list tells of lines, all see them late and alike: they are longer, and vary more.
         self.line = LINE * (LATE if terms.sizes_move else 1)
         self.tagged: dict[int, Upstream] = {}
@@ -400,11 +402,11 @@
                 pool = [u for u in side if u.listing.zone == risky.zone]
             elif kind is Group.CELL:
                 pool = [u for u in side if u.listing.cell == risky.cell]
-            looked = pool[:LOOKS] if self.subset or len(pool) <= LOOKS else self.chance.sample(pool, LOOKS)
+            looked = pool if self.subset or len(pool) <= LOOKS else self.chance.sample(pool, LOOKS)
             found: list[tuple[Upstream, float, float]] = []
             seen = 0
             for u in looked:
-                if seen == self.subset > 0:
+                if self.subset and (seen == self.subset or u.place >= self.width):
                     break
                 if u in used or not self._trusted(u, wi) or not self._within_cold_budget(u):
                     continue
@@ -450,6 +452,12 @@
             self.counted = {tag: n for tag, n in self.counted.items() if n}
             self.near = [u for u in ready if u.listing.zone == self.terms.zone]
             self.far = [u for u in ready if u.listing.zone != self.terms.zone]
+            for side in (self.near, self.far) if self.subset else ():
+                # Of all sidecars these may send to one upstream of the side: the mean, and chance beyond it.
+                users = self.terms.sidecars * min(1.0, self.width / max(1, len(side)))
+                users = min(self.terms.sidecars, users + 3 * users**0.5)
+                for place, u in enumerate(side):
+                    u.place, u.users = place, users
             self.mean_size = sum(u.size for u in every) / len(every) if every else 1.0
 
     # What others have out: peers tell of it, or the upstreams are asked.
@@ -830,7 +838,7 @@
         if u.phase is None:
             u.phase = self.chance.random()
         each = max(self._typical(c) for c in self.terms.categories) * self._small(u) / self.at_once
-        rate = CAREFUL * self.terms.fall_multiple * warmth / each / self.terms.sidecars
+        rate = CAREFUL * self.terms.fall_multiple * warmth / each / u.users
         span = max(self.terms.fall_span, 1 / rate)
         # Guards against hundreds of sidecars that each send the first of their part at once: where a part is
         # less than one hand-off a span, its turn comes at a time of its own.
@@ -856,7 +864,7 @@
                 self.stale_plan = True
                 self.upstreams.pop(entry.address, None)
                 if entry.condition is not Condition.GONE:
-                    self.upstreams[entry.address] = Upstream(entry, self.now)
+                    self.upstreams[entry.address] = Upstream(entry, self.now, self.terms.sidecars)
                 continue
             before = known.listing
             if not moving or (entry.condition, entry.started) != (before.condition, before.started):
