--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -53,9 +53,9 @@
 LEARNED = 100  # answers before the percentile is believed
 UNLEARNED = 0.5  # of the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
-FIT = 0.6  # share of the due time that the expected answer may take, for the best payoff
+FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
 LINE = 2.5  # work items at an upstream of mean size past which more would only wait, or make it choke
-LATE = 3.0  # times that, where only the list tells of them
+LATE = 2.0  # times those two, where only the list tells of lines
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
 FAILING = 0.2  # errors a second that an upstream tells of, of its work items a second, that set it aside
@@ -218,7 +218,7 @@
         self.subset = SUBSET if terms.keeping_price else 0
         self.width = WIDE * self.subset
         # Where only the list tells of lines, all see them late and alike: they are longer, and vary more.
-        self.line = LINE * (LATE if terms.sizes_move else 1)
+        self.fit, self.line = (x * (LATE if terms.sizes_move else 1) for x in (FIT, LINE))
         self.tagged: dict[int, Upstream] = {}
         self.suspects: dict[Upstream, None] = {}
         self.may_tell, self.told_at = AT_ONCE, now
@@ -383,7 +383,7 @@
         used = {*but, *(h.upstream for h in handed)}
         risky = next((h.upstream.listing for h in handed if h.may_have_run), None)
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
-        left = (due - (self.now - wi.arrived)) * FIT * stake
+        left = (due - (self.now - wi.arrived)) * self.fit * stake
         typical = self._typical(wi.category)
         worth = wi.category.payoff / self.mean_payoff
         near_enough, open_enough = (
@@ -515,7 +515,7 @@
         if not good:
             return self._draw(wi, [], due, stake, asked)
         best = min(good, key=lambda u: self._expected(u, wi))
-        fits = self._load(best) < LINE or self._expected(best, wi) < due * FIT * stake
+        fits = self._load(best) < self.line or self._expected(best, wi) < due * self.fit * stake
         return best if fits else None
 
     def _open(self, u: Upstream) -> bool:
@@ -662,12 +662,14 @@
         return 0.5 ** ((self.now - since) / STALE / self.shortest)
 
     def _read(self, u: Upstream, report: dict[str, float]) -> None:
-        held, busy = report.get("held"), report.get("busy", 0.0)
-        if held and 0.1 < busy < 0.9:
-            # Guards against taking upstreams that do several work items at a time for full ones.
-            self.held, self.busy = self.held + held, self.busy + busy
+        held, busy = report.get("held"), report.get("busy")
+        if held is not None and busy is not None:
+            # Guards against taking upstreams that do several work items at a time for full ones: as many as are
+            # held, up to what it can do at a time, are that part of it which it says is busy. From below.
+            self.held, self.busy = self.held + min(held, self.at_once), self.busy + busy
             if self.busy > ENOUGH / 8:
                 self.at_once = max(1.0, self.held / self.busy)
+                self.held, self.busy = self.held / 2, self.busy / 2
         for figure in ("held", "waiting", "busy"):
             if figure in report and not self.terms.sizes_move:
                 value = report[figure] / self.at_once
@@ -778,6 +780,8 @@
         if self.tells:
             self.untold[u] = None
         self.out -= 1
+        if outcome.fate is Fate.TURNED_DOWN:
+            u.report = (self.line, self.now)
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
             # Where a connection carries many, one that answers is open for whatever comes next.
             u.spare = [*(u.spare if self.terms.streams == 1 else ()), self.now]
