--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -49,6 +49,7 @@
 )
 
 HIGH = 0.98  # the percentile of healthy answers after which a copy goes out
+FEW = 6  # the same for the pace of one upstream
 ENOUGH = 32  # answers up to which those of a category are kept, however old
 LEARNED = 100  # answers before the percentile is believed
 UNLEARNED = 0.5  # of the due time: the delay until then
@@ -682,7 +683,10 @@
     def _slowness(self, u: Upstream) -> float:
         """Its times against those of its like; two answers' weight of doubt."""
         told = self._told_pace(u)
-        return told if u.pace is None else u.pace.aged(self.now, self.renewal).mean(prior=told, doubt=2)
+        if u.pace is None:
+            return told
+        pace = u.pace.aged(self.now, self.renewal) if u.pace.total > FEW else u.pace
+        return pace.mean(prior=told, doubt=2)
 
     def _relief(self, wi: WorkItem) -> float:
         # Guards against clients deferred together coming back together.
@@ -811,13 +815,19 @@
                     self.unwarned[u] = None
                     self._warned(u)
             case Fate.CANCELLED | Fate.OVERDUE:
+                self._learn(ho, outcome.took, unfinished=True)
                 if hushed:
                     self._note(u, bad=True, hushed=True)
 
-    def _learn(self, ho: HandOff, took: float) -> None:
+    def _learn(self, ho: HandOff, took: float, unfinished: bool = False) -> None:
         u, cat = ho.upstream, ho.wi.category
         usual, way, small = self._typical(cat), self._way(u), self._small(u)
         each = took / (self._stretch(u, ho.load) * small)
+        if unfinished:
+            # Guards against a slow upstream of which only the quick answers are ever seen.
+            if u.pace is not None and each / usual > self._slowness(u):
+                u.pace.add(each / usual)
+            return
         if self.near and u.listing.zone != self.terms.zone:
             self.beyond.add(took * way / (usual * self._relative(u) * self._stretch(u, ho.load)))
         if u.pace is None:
