--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -56,6 +56,7 @@
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
 LINE = 2.5  # work items at an upstream of mean size past which more would only wait, or make it choke
+DAMPED = 0.3  # part of what the list tells of one upstream's load, against all, that is believed
 LATE = 2.0  # times those two, where only the list tells of lines
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
@@ -66,8 +67,8 @@
 BEYOND = 1.5  # times the middle customer's use of its share past which a customer's is taken to be used up
 STALE = 4.0  # shortest due times by which what was seen counts half
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
-WIDE = 2  # times as many that it may draw from while some of them are not ready
-SUBSET = 4  # upstreams of a side that are drawn from, where an open connection has a price
+WIDE = 3  # times as many that it may draw from while some of them are not ready
+SUBSET = 3  # upstreams of a side that are drawn from, where an open connection has a price
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 LONGEST = 256  # bytes that a message holds, and that its price is for
 SEEN = 4.0  # answers elsewhere that weigh as much as the doubt about an upstream's times
@@ -633,7 +634,7 @@
 
     def _small(self, u: Upstream) -> float:
         """How many of it make one of mean size."""
-        return self.mean_size / max(u.size, 1e-9)
+        return (self.mean_size / max(u.size, 1e-9)) ** (0.5 if self.terms.sizes_move else 1)
 
     def _relative(self, u: Upstream) -> float:
         """Its times against those of a usual upstream of mean size."""
@@ -648,9 +649,10 @@
             return float(self.counted.get(u.tag, 0))
         mean = self._mean_elsewhere()
         if self.terms.sizes_move:
-            value, at = u.size / max(u.listing.size, 1e-9) - 1, self.reported_at
-        else:
-            value, at = u.report or (mean, self.now)
+            # Guards against all sidecars, which read the same, filling what was free and leaving what was full.
+            held = u.size / max(u.listing.size, 1e-9) - 1
+            return mean + (held - mean) * DAMPED * self._faded(self.reported_at)
+        value, at = u.report or (mean, self.now)
         return mean + (value - mean) * 0.5 ** ((self.now - at) / self.shortest)
 
     def _mean_elsewhere(self) -> float:
