--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -56,7 +56,7 @@
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
 LINE = 2.5  # work items at an upstream of mean size past which more would only wait, or make it choke
-DAMPED = 0.3  # part of what the list tells of one upstream's load, against all, that is believed
+DAMPED = 0.1  # part of what the list tells of one upstream's load, against all, that is believed
 LATE = 2.0  # times those two, where only the list tells of lines
 LESS = 0.25  # power of the payoff by which the others get less of it
 BY_CHANCE = 0.01  # a row of failures rarer than this, at the fleet's rate, sets an upstream aside
@@ -234,7 +234,8 @@
 
     def work(self, wi: WorkItem) -> Steps:
         due, stake = self._prospect(wi)
-        until = wi.arrived + min(due * GIVE_UP if wi.category.late_payoff == 0 else wi.patience, wi.patience)
+        # Guards against late answers, worth a part, taking the room of those that can still come in time.
+        until = wi.arrived + min(due * GIVE_UP, wi.patience)
         handed: list[HandOff] = []
         copies, delays = 0, 1
         wanted = True
