--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -483,7 +483,7 @@
 
     def _questions(self, category: Category) -> int:
         """How many upstreams are asked, at most."""
-        return min(3, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
+        return min(self.subset or 3, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan, one at a time, until one is free; that one gets the work item."""
@@ -899,7 +899,9 @@
         self._read(u, report)
         if fate is Fate.FINISHED:
             u.answered = self.now
-        elif fate is not Fate.TURNED_DOWN:
+        elif fate is Fate.TURNED_DOWN:
+            u.report = (self.line, self.now)
+        else:
             self._note(u, bad=True)
 
     # Standing chores.
