--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -483,7 +483,7 @@
 
     def _questions(self, category: Category) -> int:
         """How many upstreams are asked, at most."""
-        return min(self.subset or 3, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
+        return min(1 if self.subset else 3, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan, one at a time, until one is free; that one gets the work item."""
@@ -519,7 +519,7 @@
             return self._draw(wi, [], due, stake, asked)
         best = min(good, key=lambda u: self._expected(u, wi))
         fits = self._load(best) < self.line or self._expected(best, wi) < due * self.fit * stake
-        return best if fits else None
+        return best if fits else self._draw(wi, [], due, stake, asked) if self.subset else None
 
     def _open(self, u: Upstream) -> bool:
         """An idle connection to it is still there."""
