--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -20,6 +20,7 @@
 import zlib
 from collections.abc import Sequence
 from math import inf, log
+from operator import attrgetter
 
 from .terms import (
     GONE,
@@ -52,7 +53,7 @@
 FEW = 6  # the same for the pace of one upstream
 ENOUGH = 32  # answers up to which those of a category are kept, however old
 LEARNED = 100  # answers before the percentile is believed
-UNLEARNED = 0.5  # of the due time: the delay until then
+UNLEARNED = 4.0  # of the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
 LINE = 2.5  # work items at an upstream of mean size past which more would only wait, or make it choke
@@ -105,17 +106,18 @@
         if self.total > self.most:
             self.halve()
 
-    def halve(self, times: int = 1) -> None:
-        self.bins = [n / 2**times for n in self.bins]
-        self.total /= 2**times
-        self.sum /= 2**times
-
-    def aged(self, now: float, span: float) -> Histogram:
-        """Halved as often as `span` has passed since it was last read."""
-        if times := int((now - self.halved) / span):
-            self.halved += times * span
-            if self.total:
-                self.halve(min(times, 64))
+    def halve(self) -> None:
+        self.bins = [n / 2 for n in self.bins]
+        self.total /= 2
+        self.sum /= 2
+
+    def aged(self, now: float, span: float, keep: float = 0.0) -> Histogram:
+        """Halved as often as `span` has passed since it was last read, while more than `keep` are in it."""
+        times = int((now - self.halved) / span)
+        self.halved += times * span
+        while times and self.total > keep:
+            times -= 1
+            self.halve()
         return self
 
     def mean(self, prior: float, doubt: float) -> float:
@@ -175,9 +177,6 @@
         self.unreached, self.hushed, self.warned_at = False, False, -inf
         self.spare: list[float] = []
 
-    def rank(self, salt: int) -> int:
-        return zlib.crc32(self.address.encode(), salt * 2654435761 & 0xFFFFFFFF)
-
     def update(self, listing: Listing, now: float, moving: bool = False) -> None:
         self.listing = listing
         # A size that moves is the true one over one plus what is held: the most ever listed is nearest to it.
@@ -188,6 +187,9 @@
             self.forget(now)
 
 
+Some = Sequence[Upstream]
+
+
 class Balancer:
     def __init__(self, terms: Terms, chance: random.Random, now: float) -> None:
         self.terms, self.chance, self.now = terms, chance, now
@@ -217,8 +219,8 @@
         self.unwarned: dict[Upstream, None] = {}
         self.lost: dict[Upstream, int] = {}
         self.trials = 1.0
-        self.subset = SUBSET if terms.keeping_price else 0
-        self.width = WIDE * self.subset
+        self.subset = SUBSET if terms.keeping_price and terms.streams > 1 else 0
+        self.width, self.salt = WIDE * self.subset, terms.number * 2654435761 & 0xFFFFFFFF
         # Where only the list tells of lines, all see them late and alike: they are longer, and vary more.
         self.fit, self.line = (x * (LATE if terms.sizes_move else 1) for x in (FIT, LINE))
         self.tagged: dict[int, Upstream] = {}
@@ -377,7 +379,7 @@
         handed: list[HandOff],
         due: float,
         stake: float,
-        but: Sequence[Upstream] = (),
+        but: Some = (),
         full: bool = False,
     ) -> Upstream | None:
         if stake == 0 and self._crowded():
@@ -401,10 +403,9 @@
         choice: list[tuple[Upstream, float, float]] = []
         for side in (self.near, self.far):
             pool = side
-            if kind is Group.ZONE:
-                pool = [u for u in side if u.listing.zone == risky.zone]
-            elif kind is Group.CELL:
-                pool = [u for u in side if u.listing.cell == risky.cell]
+            if kind is not Group.ALL:
+                same = attrgetter(kind.value)
+                pool = [u for u in side if same(u.listing) == same(risky)]
             looked = pool if self.subset or len(pool) <= LOOKS else self.chance.sample(pool, LOOKS)
             found: list[tuple[Upstream, float, float]] = []
             seen = 0
@@ -418,22 +419,23 @@
                 expected = typical * relative * self._stretch(u, load)
                 line = self.line * max(1.0, 1 / small) ** 0.5
                 # Guards against a sidecar that hears of nothing because it refuses everything: it tries with
-                # what it has once nothing of its own is out.
+                # what it has once nothing of its own is out, unless the list tells it unasked.
                 heard = self.out or self.terms.sizes_move
                 if load >= 1 and (expected > left or load >= line) and heard and not full:
                     continue
                 found.append((u, self._warmth(u) / ((1 + load) * relative), expected))
-            if found:
-                seen = len(found) if self.subset else len(looked)
-                choice += [(u, weight * len(pool) / seen, expected) for u, weight, expected in found]
+            scale = len(pool) / (len(found) if self.subset else len(looked)) if found else 0.0
+            choice += [(u, weight * scale, expected) for u, weight, expected in found]
             if side is self.near and (near := [c for c in choice if c[2] <= near_enough]):
                 choice = near
                 break
         if not choice:
             return None
         # Guards against paying for a new connection where one that is open and free does as well.
-        if self.terms.connecting_price and not self.subset and (
-            ready := [c for c in choice if self._open(c[0]) and c[2] <= open_enough]
+        if (
+            self.terms.connecting_price
+            and not self.subset
+            and (ready := [c for c in choice if self._open(c[0]) and c[2] <= open_enough])
         ):
             choice = ready
         return self.chance.choices([c[0] for c in choice], [c[1] for c in choice])[0]
@@ -442,14 +444,15 @@
         self._plan_afresh()
         return len(self.near) + len(self.far)
 
+    def _order(self, u: Upstream) -> tuple[int, str]:
+        return zlib.crc32(u.address.encode(), self.salt) if self.subset else 0, u.address
+
     def _plan_afresh(self) -> None:
         if self.stale_plan:
             self.stale_plan = False
-            # Guards against more connections than upstreams accept, where sidecars are many: where an open one
-            # has a price, each draws from the first that are ready in an order of its own.
-            salt = self.terms.number
-            order = (lambda u: (u.rank(salt), u.address)) if self.subset else (lambda u: u.address)
-            every = sorted(self.upstreams.values(), key=order)
+            # Guards against more connections than upstreams accept: where an open one has a price, each
+            # sidecar draws from the first that are ready in an order of its own.
+            every = sorted(self.upstreams.values(), key=self._order)
             ready = [u for u in every if u.listing.condition is Condition.READY]
             self.tagged = {u.tag: u for u in self.upstreams.values()}
             self.counted = {tag: n for tag, n in self.counted.items() if n}
@@ -483,7 +486,9 @@
 
     def _questions(self, category: Category) -> int:
         """How many upstreams are asked, at most."""
-        return min(1 if self.subset else 3, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
+        return (
+            min(1 if self.subset else 3, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
+        )
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan, one at a time, until one is free; that one gets the work item."""
@@ -495,17 +500,13 @@
         # Guards against asking on while the client's patience runs out.
         until = min(until, self.now + due * stake / 4)
         while self.now < until and not any(self._load(u) < enough for u in good):
-            if waiting < 1 and len(asked) < most:
-                u = self._draw(wi, [], due, stake, asked, full=True)
-                if u is not None:
-                    fresh = u.report is not None and u.report[1] > self.now - self.shortest / 2
-                    if fresh and self._load(u) < 1:
-                        return u  # as good as asked
-                    asked.append(u)
-                    waiting += 1
-                    yield Probe(u)
-                    continue
-            if not waiting:
+            if not waiting and len(asked) < most and (u := self._draw(wi, [], due, stake, asked, full=True)):
+                if u.report is not None and u.report[1] > self.now - self.shortest / 2 and self._load(u) < 1:
+                    return u  # as good as asked
+                asked.append(u)
+                waiting += 1
+                yield Probe(u)
+            elif not waiting:
                 break
             event = yield Wait(until if len(asked) == most else min(until, self.now + self.shortest / 32))
             if event is GONE:
@@ -629,8 +630,7 @@
 
     def _typical(self, category: Category) -> float:
         # Guards against a quiet sidecar knowing nothing but what it saw in the last few due times.
-        times = self.typical[category]
-        times = times.aged(self.now, self.renewal) if times.total > ENOUGH else times
+        times = self.typical[category].aged(self.now, self.renewal, ENOUGH)
         return times.mean(prior=category.due_time / 8, doubt=4)
 
     def _small(self, u: Upstream) -> float:
@@ -650,7 +650,7 @@
             return float(self.counted.get(u.tag, 0))
         mean = self._mean_elsewhere()
         if self.terms.sizes_move:
-            # Guards against all sidecars, which read the same, filling what was free and leaving what was full.
+            # Guards against all sidecars, which read the same, filling what was free and leaving the full.
             held = u.size / max(u.listing.size, 1e-9) - 1
             return mean + (held - mean) * DAMPED * self._faded(self.reported_at)
         value, at = u.report or (mean, self.now)
@@ -668,8 +668,8 @@
     def _read(self, u: Upstream, report: dict[str, float]) -> None:
         held, busy = report.get("held"), report.get("busy")
         if held is not None and busy is not None:
-            # Guards against taking upstreams that do several work items at a time for full ones: as many as are
-            # held, up to what it can do at a time, are that part of it which it says is busy. From below.
+            # Guards against taking upstreams that do several work items at a time for full: of those held, as
+            # many as it can do at a time make up the part of it that is busy. Found from below.
             self.held, self.busy = self.held + min(held, self.at_once), self.busy + busy
             if self.busy > ENOUGH / 8:
                 self.at_once = max(1.0, self.held / self.busy)
@@ -686,10 +686,7 @@
     def _slowness(self, u: Upstream) -> float:
         """Its times against those of its like; two answers' weight of doubt."""
         told = self._told_pace(u)
-        if u.pace is None:
-            return told
-        pace = u.pace.aged(self.now, self.renewal) if u.pace.total > FEW else u.pace
-        return pace.mean(prior=told, doubt=2)
+        return told if u.pace is None else u.pace.aged(self.now, self.renewal, FEW).mean(prior=told, doubt=2)
 
     def _relief(self, wi: WorkItem) -> float:
         # Guards against clients deferred together coming back together.
@@ -852,6 +849,8 @@
         warmth = self._warmth(u)
         if warmth >= 1:
             return True
+        if u.place >= self.width > 0:
+            return False
         if u.phase is None:
             u.phase = self.chance.random()
         each = max(self._typical(c) for c in self.terms.categories) * self._small(u) / self.at_once
