--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -7,8 +7,8 @@
 does no harm, hands a copy to the next one once `_delay` has passed; the first to finish wins.
 
 Beside it: 1 set-aside (failures in a row, doubling trickle, open connections go on), 2 cold budget, 3 fit (no
-piling up; least worth deferred first), 4 near and open first (priced), 5 observed pace,
-6 word from elsewhere (load, silence and pace told by peers, or load asked for, by price; warnings of errors).
+piling up; least worth deferred first), 4 near, open, few first (priced), 5 observed pace, 6 word from
+elsewhere (load, silence, pace told by peers, by the list, or asked for, by price; warnings of errors).
 
 What one event costs depends neither on the size of the fleet nor on the number of sidecars, and what is not
 needed is not kept fresh: figures are aged when they are read.
@@ -28,7 +28,6 @@
     Cancel,
     Category,
     Condition,
-    Customer,
     Defer,
     Effect,
     Fate,
@@ -50,13 +49,13 @@
 )
 
 HIGH = 0.98  # the percentile of healthy answers after which a copy goes out
-FEW = 6  # the same for the pace of one upstream
 ENOUGH = 32  # answers up to which those of a category are kept, however old
-LEARNED = 100  # answers before the percentile is believed
+FEW = 6  # the same for the pace of one upstream
+LEARNED = 50  # answers before the percentile is believed
 UNLEARNED = 4.0  # of the due time: the delay until then
 GIVE_UP = 0.98  # share of the due time after which an answer is not waited for
 FIT = 0.42  # share of the due time that the expected answer may take, for the best payoff
-LINE = 2.5  # work items at an upstream of mean size past which more would only wait, or make it choke
+LINE = 2.5  # work items at an upstream of mean size, for each that it does at a time, past which more wait
 DAMPED = 0.1  # part of what the list tells of one upstream's load, against all, that is believed
 LATE = 2.0  # times those two, where only the list tells of lines
 LESS = 0.25  # power of the payoff by which the others get less of it
@@ -65,11 +64,10 @@
 TRUSTED = 4  # hand-offs at a time at which the trickle ends
 SILENT = 3.0  # times the expected answer after which a silent upstream counts as failing
 CAREFUL = 0.6  # share of the cold budget that is used
-BEYOND = 1.5  # times the middle customer's use of its share past which a customer's is taken to be used up
 STALE = 4.0  # shortest due times by which what was seen counts half
 LOOKS = 12  # upstreams that a draw looks at, in the own zone and beyond it
-WIDE = 3  # times as many that it may draw from while some of them are not ready
-SUBSET = 2  # upstreams of a side that are drawn from, where an open connection has a price
+SUBSET = 2  # upstreams of a side that are drawn from, where an open connection has a price and carries many
+WIDE = 3  # times as many, from which they are taken while some are not ready
 GAIN = 0.1  # share of a mean payoff that knowing the load may save
 LONGEST = 256  # bytes that a message holds, and that its price is for
 SEEN = 4.0  # answers elsewhere that weigh as much as the doubt about an upstream's times
@@ -205,9 +203,6 @@
         self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.beyond = Histogram(0.25, 1.4, 12, 400, now)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
-        self.patience = {c: 0.0 for c in terms.categories}
-        self.asked = dict.fromkeys(terms.customers, 0.0)
-        self.asked_until = now
         self.mean_size = 1.0
         self.reported, self.reports, self.reported_at = 0.0, 0.0, now
         self.held, self.busy, self.at_once = 0.0, 0.0, 1.0
@@ -235,7 +230,8 @@
     # The ordinary path.
 
     def work(self, wi: WorkItem) -> Steps:
-        due, stake = self._prospect(wi)
+        due = wi.category.due_time + wi.category.stretch * wi.cost
+        stake = (wi.category.payoff / self.best_payoff) ** LESS
         # Guards against late answers, worth a part, taking the room of those that can still come in time.
         until = wi.arrived + min(due * GIVE_UP, wi.patience)
         handed: list[HandOff] = []
@@ -297,7 +293,9 @@
                     break
         yield from self._drop(handed)
         if self._may_defer(wi, handed):
-            yield Defer(min(self.terms.longest_come_back, self._relief(wi)))
+            # Guards against clients deferred together coming back together.
+            relief = wi.category.due_time / 4 * (0.5 + self.chance.random())
+            yield Defer(min(self.terms.longest_come_back, relief))
         else:
             yield WriteOff()
 
@@ -306,42 +304,9 @@
             if ho.pending and self.terms.cancel_allowed:
                 yield Cancel(ho)
 
-    def _prospect(self, wi: WorkItem) -> tuple[float, float]:
-        """How long an answer is worth something, and how much."""
-        cat = wi.category
-        due = cat.due_time + cat.stretch * wi.cost
-        stake = (cat.payoff / self.best_payoff) ** LESS
-        if wi.customer is not None:
-            faded = self._faded(self.asked_until)
-            self.asked_until = self.now
-            self.asked = {customer: n * faded for customer, n in self.asked.items()}
-            self.asked[wi.customer] += not wi.repeat
-            if self.chance.random() < self._excess(wi.customer):
-                stake *= self.terms.over_share_payoff**0.5
-        if not wi.repeat:
-            self.patience[cat] = max(self.patience[cat], wi.patience)
-        elif wi.patience < self.patience[cat] * GIVE_UP:
-            # Guards against work for a client whose earlier tries have used up the due time: a try cut short
-            # by the expiry tells how long ago the first one came.
-            due -= cat.expiry - wi.patience
-        if due <= 0:
-            due, stake = wi.patience, stake * cat.late_payoff
-        return due, stake
-
-    def _excess(self, customer: Customer) -> float:
-        """The part of a customer's work beyond its share, judged by our own traffic alone.
-
-        Guards against one customer's burst crowding out the others. What part of a share is ours to give is
-        not known; the use that the middle customer makes of its own tells it well enough.
-        """
-        uses = sorted(n / max(c.share, 1e-9) for c, n in self.asked.items())
-        fair = BEYOND * uses[(len(uses) - 1) // 2] * customer.share
-        return 1 - min(1.0, (fair + 2 * fair**0.5 + 1) / max(self.asked[customer], 1e-9))
-
     def _delay(self, wi: WorkItem) -> float:
-        if self.latency.total < LEARNED:
-            return UNLEARNED * wi.category.due_time
-        return self.latency.percentile(HIGH) * self._typical(wi.category)
+        learned = self.latency.percentile(HIGH) * self._typical(wi.category)
+        return learned if self.latency.total >= LEARNED else UNLEARNED * wi.category.due_time
 
     def _crowded(self) -> bool:
         """No copies while all are slow or full: there is no spare room to absorb them."""
@@ -354,17 +319,14 @@
     def _may_send(self, wi: WorkItem, handed: list[HandOff]) -> bool:
         if len(handed) >= self.terms.most_hand_offs:
             return False
-        if wi.category.effect is Effect.RERUNNABLE:
-            return True
         risky = next((h for h in handed if h.may_have_run), None)
-        if risky is None:
+        if risky is None or wi.category.effect is Effect.RERUNNABLE:
             return True
         return wi.category.effect is Effect.TICKETED and self.now < risky.sent + wi.category.memory * GIVE_UP
 
     def _repeatable(self, wi: WorkItem, handed: list[HandOff]) -> bool:
-        if wi.category.effect is Effect.EXCLUSIVE or not self.terms.copies_allowed or not handed:
-            return False
-        return handed[-1].pending and self._may_send(wi, handed)
+        may = self.terms.copies_allowed and wi.category.effect is not Effect.EXCLUSIVE
+        return may and bool(handed) and handed[-1].pending and self._may_send(wi, handed)
 
     def _may_defer(self, wi: WorkItem, handed: list[HandOff]) -> bool:
         if wi.category.effect is Effect.RERUNNABLE or not any(h.may_have_run for h in handed):
@@ -382,9 +344,6 @@
         but: Some = (),
         full: bool = False,
     ) -> Upstream | None:
-        if stake == 0 and self._crowded():
-            # Guards against work that is worth nothing taking the room of work that is.
-            return None
         used = {*but, *(h.upstream for h in handed)}
         risky = next((h.upstream.listing for h in handed if h.may_have_run), None)
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
@@ -431,13 +390,9 @@
                 break
         if not choice:
             return None
-        # Guards against paying for a new connection where one that is open and free does as well.
-        if (
-            self.terms.connecting_price
-            and not self.subset
-            and (ready := [c for c in choice if self._open(c[0]) and c[2] <= open_enough])
-        ):
-            choice = ready
+        if self.terms.connecting_price and not self.subset:
+            # Guards against paying for a new connection where one that is open and free does as well.
+            choice = [c for c in choice if self._open(c[0]) and c[2] <= open_enough] or choice
         return self.chance.choices([c[0] for c in choice], [c[1] for c in choice])[0]
 
     def _ready(self) -> int:
@@ -486,9 +441,8 @@
 
     def _questions(self, category: Category) -> int:
         """How many upstreams are asked, at most."""
-        return (
-            min(1 if self.subset else 3, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
-        )
+        most = 1 if self.subset else 3
+        return min(most, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan, one at a time, until one is free; that one gets the work item."""
@@ -536,9 +490,7 @@
     def _stretch(self, u: Upstream, load: float) -> float:
         """How many times as long it takes as at an idle, warm one of its like nearby.
 
-        Guards against taking the way for work: where ways are long, a line costs less than an idle one's time
-        says, and an idle one far away is no sooner done than one nearby with a line. And against taking one
-        that is still cold for as quick as the others: what waits there comes too late.
+        Guards against taking the way for work, and one that is still cold for as quick as the others.
         """
         return self._way(u) * (1 + AHEAD * load) / self._warmth(u)
 
@@ -559,9 +511,8 @@
             told = [(u.tag, WARNING) for u in self.unwarned]
             told += [(u.tag, word) for u, word in self.lost.items()]
             told += [(u.tag, min(len(u.pending), UNSAID - 1)) for u in self.untold]
-            self.unwarned.clear()
-            self.lost.clear()
-            self.untold.clear()
+            for said in (self.unwarned, self.lost, self.untold):
+                said.clear()
             yield Tell(b"".join(tag.to_bytes(2, "big") + bytes([n]) for tag, n in told[: LONGEST // COUNT]))
 
     def heard(self, peer: int, body: bytes) -> None:
@@ -572,13 +523,13 @@
         for i in range(0, len(body) - COUNT + 1, COUNT):
             tag, n = int.from_bytes(body[i : i + 2], "big"), body[i + 2]
             u = self.tagged.get(tag)
-            if n == WARNING:
-                if u is not None:
+            if n >= UNSAID:
+                if n != WARNING:
+                    lost.add(tag)
+                elif u is not None:
                     self._warned(u)
-                continue
-            if n in (LOST, UNSAID):
-                lost.add(tag)
-                if u is not None and n == LOST and self._silent(u):
+                # One that is slow or full goes on answering somebody.
+                if u is not None and n == LOST and u.answered < self.now - self.shortest / 2:
                     self._set_aside(u, hushed=True)
                 continue
             _, before = self.told.pop((peer, tag), (0.0, 0))
@@ -596,10 +547,7 @@
         return self.heard_at > self.now - self.shortest
 
     def _forget_old_counts(self) -> None:
-        """Guards against counting for ever what a killed or cut-off sidecar last had out.
-
-        As long as a hand-off can be out its count stands: where an upstream hangs it is all there is to see.
-        """
+        """Guards against counting for ever what a killed or cut-off sidecar last had out."""
         while self.told:
             (peer, tag), (at, n) = next(iter(self.told.items()))
             if at > self.now - self.longest:
@@ -614,10 +562,7 @@
         self.flow.add(self.now, half, self.elsewhere, answers)
 
     def _told_pace(self, u: Upstream) -> float:
-        """An upstream's times against those of all, by the counts that peers tell.
-
-        Guards against a slow upstream having to be found by each of many sidecars that see little of it.
-        """
+        """Its times against all's by peers' counts: guards against each sidecar having to find it slow."""
         if not self._peers_heard() or self.flow.answers < SEEN:
             return 1.0
         self._flowed(u)
@@ -688,10 +633,6 @@
         told = self._told_pace(u)
         return told if u.pace is None else u.pace.aged(self.now, self.renewal, FEW).mean(prior=told, doubt=2)
 
-    def _relief(self, wi: WorkItem) -> float:
-        # Guards against clients deferred together coming back together.
-        return wi.category.due_time / 4 * (0.5 + self.chance.random())
-
     # Health: failures in a row set an upstream aside; a trickle that doubles brings it back.
 
     def _trusted(self, u: Upstream, wi: WorkItem) -> bool:
@@ -704,22 +645,15 @@
             return False
         if u in self.suspects and wi.category.effect is Effect.EXCLUSIVE and self._suspect(u):
             return False
-        if u.pending:
-            # Guards against upstreams that take work and answer nothing: no outcome ever tells of them.
-            oldest = next(iter(u.pending))
-            if self._silence(oldest) > self.shortest / 4:
-                return False
+        # Guards against upstreams that take work and answer nothing: no outcome ever tells of them.
+        if u.pending and self._silence(next(iter(u.pending))) > self.shortest / 4:
+            return False
         if u.trickle < inf:
             # Guards against most hand-offs being trials where much of a fleet is gone; a good one is free.
-            if u.trickle == 1 and self.trials < 0:
-                return False
-            return len(u.pending) < u.trickle and wi.category.effect is not Effect.EXCLUSIVE
+            spent = u.trickle == 1 and self.trials < 0
+            return not spent and len(u.pending) < u.trickle and wi.category.effect is not Effect.EXCLUSIVE
         return True
 
-    def _silent(self, u: Upstream) -> bool:
-        """Nobody we hear of has had an answer there lately; one that is slow or full goes on answering."""
-        return u.answered < self.now - self.shortest / 2
-
     def _silence(self, ho: HandOff) -> float:
         """How much longer its upstream has answered nothing than it should have taken."""
         expected, u = self._typical(ho.wi.category) * (1 + ho.load), ho.upstream
@@ -727,10 +661,7 @@
         return self.now - max(ho.sent, u.answered, u.started or -inf) - SILENT * expected
 
     def _warned(self, u: Upstream) -> None:
-        """A hand-off has failed there, ours or a peer's.
-
-        Guards against each of hundreds of quiet sidecars having to find out for itself.
-        """
+        """A hand-off has failed there, ours or a peer's: guards against each having to find out itself."""
         for old in [s for s in self.suspects if not self._suspect(s)]:
             del self.suspects[old]
         # Guards against a fault common to all leaving nobody to send to.
@@ -756,8 +687,7 @@
                 u.unreached = False
             return
         u.failures += 1
-        # Guards against setting the whole fleet aside for a fault that is common or ours: the more of all
-        # hand-offs fail, the longer the row that says anything about one upstream.
+        # Guards against setting the whole fleet aside for a fault that is common or ours.
         # One that can't be reached is not condemned by it: what runs over open connections goes on.
         chance = (BY_CHANCE if u.unreached else self.bad / self.outcomes) ** u.failures
         # Guards against rows that are bound to come up where one upstream gets many hand-offs in a due time.
@@ -807,11 +737,11 @@
                 self._note(u, bad=told, told=told)
             case Fate.ERROR | Fate.BROKEN | Fate.UNREACHED:
                 self._note(u, bad=True, hushed=outcome.fate is Fate.UNREACHED, told=told)
-                known = self.now < u.warned_at + self.shortest
                 # Guards against faults that any upstream has alike keeping exclusive work from half of them.
                 others = max(0.0, self.bad - u.failures) / self.outcomes
                 rare = 2 * self.lately * others**u.failures < self._ready()
-                if self.terms.peers_allowed and outcome.fate is not Fate.UNREACHED and rare and not known:
+                told = outcome.fate is Fate.UNREACHED or self.now < u.warned_at + self.shortest
+                if self.terms.peers_allowed and rare and not told:
                     self.unwarned[u] = None
                     self._warned(u)
             case Fate.CANCELLED | Fate.OVERDUE:
@@ -847,21 +777,17 @@
 
     def _within_cold_budget(self, u: Upstream) -> bool:
         warmth = self._warmth(u)
-        if warmth >= 1:
-            return True
-        if u.place >= self.width > 0:
-            return False
+        if warmth >= 1 or u.place >= self.width > 0:
+            return warmth >= 1
         if u.phase is None:
             u.phase = self.chance.random()
         each = max(self._typical(c) for c in self.terms.categories) * self._small(u) / self.at_once
         rate = CAREFUL * self.terms.fall_multiple * warmth / each / u.users
         span = max(self.terms.fall_span, 1 / rate)
-        # Guards against hundreds of sidecars that each send the first of their part at once: where a part is
-        # less than one hand-off a span, its turn comes at a time of its own.
+        # Guards against hundreds of sidecars that each send the first of their part at once.
         if span > self.terms.fall_span and self.now < u.turn + u.phase * span:
             return False
-        recent = sum(1 for at in u.sends if at > self.now - span)
-        return recent + 1 <= rate * span + 1e-9
+        return sum(at > self.now - span for at in u.sends) + 1 <= rate * span + 1e-9
 
     # The list and reports.
 
@@ -869,11 +795,11 @@
         if news is News.FAILED:
             return
         if news is News.WHOLE:
-            self.stale_plan = True
             named = {entry.address for entry in listings}
             for address in [a for a in self.upstreams if a not in named]:
                 del self.upstreams[address]
         moving = self.terms.sizes_move
+        self.stale_plan = self.stale_plan or not moving or news is News.WHOLE
         for entry in listings:
             known = self.upstreams.get(entry.address)
             if known is None or entry.condition is Condition.GONE:
@@ -881,11 +807,11 @@
                 self.upstreams.pop(entry.address, None)
                 if entry.condition is not Condition.GONE:
                     self.upstreams[entry.address] = Upstream(entry, self.now, self.terms.sidecars)
-                continue
-            before = known.listing
-            if not moving or (entry.condition, entry.started) != (before.condition, before.started):
-                self.stale_plan = True
-            known.update(entry, self.now, moving)
+            else:
+                before = known.listing
+                if (entry.condition, entry.started) != (before.condition, before.started):
+                    self.stale_plan = True
+                known.update(entry, self.now, moving)
         if moving:
             # What is not listed anew has not changed: it counts as said again.
             self.reported_at, self.reports = self.now, len(self.upstreams)
@@ -910,8 +836,7 @@
 
     def _follow_list(self) -> Steps:
         often = max(self.terms.ask_within / 32, self.shortest / 4)
-        # Guards against all sidecars asking the list at once, at the start and after its outages: the more
-        # of them there are, the longer they spread their calls over.
+        # Guards against all sidecars asking the list at once, at the start and after its outages.
         spread = min(often * max(1.0, self.terms.sidecars / 16), max(often, self.terms.ask_within / 2))
         patience = spread
         until = self.now + self.chance.random() * spread
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -89,12 +89,10 @@
     sizes_move: bool = False
     asking_price: float = 0.0
     telling_price: float = 0.0
-    over_share_payoff: float = 1.0
     copies_allowed: bool = True
     cancel_allowed: bool = True
     peers_allowed: bool = False
     asking_allowed: bool = False
-    told_with_answers: bool = False
     load_reported: bool = False
     longest_come_back: float = 0.0
     connect_within: float = 0.0
