The real sidecar is ready for the new shape: HTTP/2 to upstreams, a list unasked, settings checked

Which shape is in force follows from the settings: discovery push, caps.streamsPerConn above 1. The list's watch is begun and kept up without the decisions asking. Wrong types, unknown words and mixtures are refused at the start and at SIGHUP, the key named.

--- a/starlingwheel/net/lifecycle/config.py
+++ b/starlingwheel/net/lifecycle/config.py
@@ -50,10 +50,12 @@
     except (OSError, msgspec.DecodeError, ValueError) as error:
         raise Unusable(f"{path}: {error}") from error
     try:
+        settings.check(config.settings)
         terms = settings.terms(config.settings)
         if not terms.categories or not all(c.due_time > 0 and c.expiry > 0 for c in terms.categories):
             raise msgspec.ValidationError("categories: none, or one without dueTime or expiry")
     except (msgspec.ValidationError, TypeError) as error:
         raise Unusable(f"{path}: settings: {error}") from error
-    # On sockets discovery tells nobody who has not asked.
-    return config, msgspec.structs.replace(terms, must_subscribe=True)
+    # A sidecar whose settings don't say how the list comes asks for it.
+    asks = config.settings.get("discovery", "ask") == "ask"
+    return config, msgspec.structs.replace(terms, must_subscribe=asks)
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -4,11 +4,13 @@
 
 import gc
 import os
+import random
 import resource
 import socket
 import sys
 from collections.abc import Mapping
 from math import inf
+from typing import Any
 
 import msgspec
 
@@ -23,6 +25,7 @@
 from ..wire.client import BACKLOG, Listener
 from ..wire.datagrams import Datagrams
 from ..wire.discovery import List
+from ..wire.upstream import Connection
 from .config import Config, Unusable, configured
 from .log import Log
 from .signals import Signals
@@ -50,6 +53,12 @@
         self.resets_until = -inf  # until then connections to upstreams are taken to break at any time
         self.stopping = False
         self.datagrams: Datagrams | None = None
+        self.connection: Any = Connection
+        if terms.streams > 1:
+            from ..wire.streams import Shared  # costs a start without it no import
+
+            self.connection = Shared
+        self.chance = random.Random(config.seed)
         self.list = List(self, config.known.version if config.known else 0)
         self.module = Module(self)
         self.listener = Listener(self, self._bound(socket.SOCK_STREAM, config.listen))
--- a/starlingwheel/net/module.py
+++ b/starlingwheel/net/module.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import random
 from math import inf
 from typing import TYPE_CHECKING, Any
 
@@ -30,7 +29,7 @@
 
     def __init__(self, node: Node) -> None:
         self.node = node
-        self.runner = Runner(node.terms, random.Random(node.config.seed), self, node.loop.now())
+        self.runner = Runner(node.terms, node.chance, self, node.loop.now())
         self.upstreams: dict[str, Upstream] = {}
         self.jobs: dict[WorkItem, Job] = {}
         self.alarm_at = self.restart_at = inf
--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -161,10 +161,15 @@
         super().__init__(node.loop)
 
     def run(self) -> Coroutine[None]:
+        if not self.node.terms.must_subscribe and self.current is None and self.coming is None:
+            # The list comes unasked: the decisions never ask, so its watch is begun and kept up here.
+            self.current = self._watch(self.version)
         while True:
             match (yield self.move_at):
-                case None:
+                case None if self.moving:
                     self._move()
+                case None:
+                    self.move_at, self.current = inf, self._watch(self.version)
                 case Subscribe() if self.current is None and not self.moving:
                     self.current = self._watch(self.version)
                 case Relocated(address):
@@ -198,7 +203,7 @@
             if before is not None:
                 before.post(CLOSE)
         if watch is self.current:
-            self.version = word.version
+            self.version, self.pause = word.version, 0.0
             self.node.module.post(Listed(word.news, word.servers))
 
     def _ended(self, watch: Watch) -> None:
@@ -212,3 +217,7 @@
             if not self.moving:
                 self.version = watch.version
                 self.node.module.post(Listed(News.FAILED, []))
+                if not self.node.terms.must_subscribe:
+                    # Guards against all sidecars calling again in the same moment.
+                    self.pause = min(2 * self.pause, EMPTY_LINE) or FIRST_PAUSE * EMPTY_LINE
+                    self.move_at = self.loop.now() + self.pause * (0.5 + self.node.chance.random())
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -65,6 +65,37 @@
         raise Lost("answer-too-long")
 
 
+def request_of(errand: Errand, node: Node, now: float) -> tuple[bytes, bytes, list[tuple[bytes, bytes]]]:
+    """Method, target and headers of what an errand sends; the framing is the protocol's."""
+    host = (b"Host", b"backend.local")
+    if errand.job is None:
+        return b"GET", b"/status/load" if node.terms.load_reported else b"/health", [host]
+    job = errand.job
+    kept = [(name, value) for name, value in job.headers if name.lower() not in HOP_BY_HOP]
+    host = next(((name, value) for name, value in job.headers if name.lower() == b"host"), host)
+    left = max(1, int((errand.until - now) * 1000))
+    headers = [host, *kept, (b"X-Expires-In-Ms", str(left).encode())]
+    if job.body.length or job.method != b"GET":
+        headers.append((b"Content-Length", str(job.body.length).encode()))
+    return job.method, job.target, headers
+
+
+def fate_of(status: int, headers: dict[bytes, bytes]) -> Fate:
+    if status == 200:
+        return Fate.FINISHED
+    if status in (503, 504) and headers.get(b"x-never-ran") == b"1":
+        return Fate.TURNED_DOWN
+    return Fate.ERROR
+
+
+def told_load(headers: Any, errand: Errand, body: Body) -> dict[str, float]:
+    texts = [value for name, value in headers if name == b"endpoint-load-metrics"]
+    text = texts[0].decode("latin-1") if len(texts) == 1 else ""
+    if not texts and errand.job is None and body.length <= LONGEST_REPORT:
+        text = b"".join(body.views()).decode("latin-1")
+    return figures(text) if text else {}
+
+
 class Upstream(Actor):
     """Gives errands to its connections: the one used last first, a new one when none is idle."""
 
@@ -73,6 +104,7 @@
     def __init__(self, node: Node, entry: Any) -> None:
         self.node, self.entry = node, entry
         self.idle: list[Connection] = []
+        self.shared: list[Any] = []  # connections that carry many at once, where the settings say so
         super().__init__(node.loop)
 
     def run(self) -> Coroutine[None]:
@@ -98,19 +130,25 @@
 
     def _no_longer_idle(self, connection: Connection) -> None:
         self.node.ledger.idle.pop(connection, None)
-        if connection in self.idle:
-            self.idle.remove(connection)
+        for held in (self.idle, self.shared):
+            if connection in held:
+                held.remove(connection)
 
     def _moved(self, entry: Any) -> None:
         """Idle connections to a process that has gone, or to an address that it had, are of no use."""
         before = self.entry
         if entry is None or (entry.addr, entry.started_ms) != (before.addr, before.started_ms):
-            for connection in list(self.idle):
+            for connection in [*self.idle, *self.shared]:
                 self._no_longer_idle(connection)
                 connection.post(CLOSE)
         self.entry = entry or before
 
     def _carry(self, errand: Errand) -> None:
+        for connection in self.shared:
+            if connection.takes():
+                errand.connection = connection
+                connection.post(Carry(errand))
+                return
         while self.idle:
             connection = self.idle.pop()
             self.node.ledger.idle.pop(connection, None)
@@ -127,7 +165,9 @@
                 return
             longest_idle.upstream._no_longer_idle(longest_idle)
             longest_idle.post(CLOSE)
-        errand.connection = Connection(self.node, self, errand)
+        errand.connection = self.node.connection(self.node, self, errand)
+        if self.node.terms.streams > 1:
+            self.shared.append(errand.connection)
         errand.connection.begin()
 
 
@@ -227,14 +267,14 @@
         stream.want(READ)
         response = yield from self._answer(errand)
         headers = dict(response.headers)
-        report = self._report(response.headers, errand)
+        report = told_load(response.headers, errand, self.body)
         if stream.http.our_state is h11.DONE and stream.http.their_state is h11.DONE:
             stream.http.start_next_cycle()
             if stream.http.trailing_data[0]:
                 self.reason = "unasked-bytes"
         else:
             self.reason = "upstream-closes"
-        fate = self._read_fate(response.status_code, headers)
+        fate = fate_of(response.status_code, headers)
         self.carried += 1
         if fate is Fate.FINISHED and errand.job is not None:
             body, self.body = self.body, Body(self.node.pool)
@@ -275,20 +315,10 @@
             raise Lost("reset" if ready.hung_up else "early-answer")
 
     def _put(self, errand: Errand) -> None:
-        host = (b"Host", b"backend.local")
-        if errand.job is None:
-            path = b"/status/load" if self.node.terms.load_reported else b"/health"
-            self.stream.put(h11.Request(method=b"GET", target=path, headers=[host]), h11.EndOfMessage())
-            return
-        job = errand.job
-        kept = [(name, value) for name, value in job.headers if name.lower() not in HOP_BY_HOP]
-        host = next(((name, value) for name, value in job.headers if name.lower() == b"host"), host)
-        left = max(1, int((errand.until - self.loop.now()) * 1000))
-        headers = [host, *kept, (b"X-Expires-In-Ms", str(left).encode())]
-        if job.body.length or job.method != b"GET":
-            headers.append((b"Content-Length", str(job.body.length).encode()))
-        self.stream.put(h11.Request(method=job.method, target=job.target, headers=headers))
-        self.stream.put(*(h11.Data(data=view) for view in job.body.views()), h11.EndOfMessage())
+        method, target, headers = request_of(errand, self.node, self.loop.now())
+        self.stream.put(h11.Request(method=method, target=target, headers=headers))
+        body = errand.job.body.views() if errand.job is not None else []
+        self.stream.put(*(h11.Data(data=view) for view in body), h11.EndOfMessage())
 
     def _answer(self, errand: Errand) -> Coroutine[h11.Response]:
         """The head of the answer; its body, whole, is then in `self.body`."""
@@ -318,20 +348,6 @@
                 yield from self._await(errand.until, "overdue")
                 self.stream.read()
 
-    def _read_fate(self, status: int, headers: dict[bytes, bytes]) -> Fate:
-        if status == 200:
-            return Fate.FINISHED
-        if status in (503, 504) and headers.get(b"x-never-ran") == b"1":
-            return Fate.TURNED_DOWN
-        return Fate.ERROR
-
-    def _report(self, headers: Any, errand: Errand) -> dict[str, float]:
-        texts = [value for name, value in headers if name == b"endpoint-load-metrics"]
-        text = texts[0].decode("latin-1") if len(texts) == 1 else ""
-        if not texts and errand.job is None and self.body.length <= LONGEST_REPORT:
-            text = b"".join(self.body.views()).decode("latin-1")
-        return figures(text) if text else {}
-
     # Between errands.
 
     def _rest(self) -> Coroutine[None]:
--- a/starlingwheel/settings.py
+++ b/starlingwheel/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
@@ -23,6 +24,74 @@
 }
 
 
+WORDS = {
+    "discovery": ("ask", "push"),
+    "weightKind": ("off", "nominal", "rough", "live"),
+    "loadReport.how": ("off", "inline", "on_probe"),
+}
+FLAGS = ("caps.probing", "caps.peers", "caps.cancel", "caps.mayDuplicate", "caps.retryAfter")
+PRICES = ("charges.crossZone", "charges.handshake", "charges.connection", "charges.probe", "charges.peer")
+WHOLE = {"caps.streamsPerConn": 1, "caps.mostHandOffs": 1, "replicasOfMe": 1, "slotNo": 0}
+
+
+def check(given: dict[str, Any]) -> None:
+    """Raises `msgspec.ValidationError`, the key named, for wrong types, unknown words and what contradicts.
+
+    The shape whose list is asked for and the one whose list comes unasked are not to be mixed. Only the
+    program checks: the simulator's wire is taken as it comes.
+    """
+    for key, words in WORDS.items():
+        if (value := _value(given, key)) is not None and value not in words:
+            raise msgspec.ValidationError(f"{key}: {value!r} is none of {', '.join(words)}")
+    for key in FLAGS:
+        if not isinstance(_value(given, key), bool | None):
+            raise msgspec.ValidationError(f"{key}: not true or false")
+    for key in PRICES:
+        value = _value(given, key)
+        if value is not None and (isinstance(value, bool) or not isinstance(value, int | float) or value < 0):
+            raise msgspec.ValidationError(f"{key}: not a price")
+    for key, least in WHOLE.items():
+        value = _value(given, key)
+        if value is not None and (type(value) is not int or value < least):
+            raise msgspec.ValidationError(f"{key}: not a whole number from {least}")
+    columns = _value(given, "loadReport.columns")
+    if columns is not None and not (isinstance(columns, list) and all(isinstance(c, str) for c in columns)):
+        raise msgspec.ValidationError("loadReport.columns: not a list of names")
+    for key, why in _mixed(given):
+        raise msgspec.ValidationError(f"{key}: {why}")
+
+
+def _mixed(given: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    """What contradicts: the key that stands out, and why."""
+    probing, streams = _value(given, "caps.probing", False), _value(given, "caps.streamsPerConn", 1)
+    live, how = _value(given, "weightKind") == "live", _value(given, "loadReport.how")
+    if _value(given, "discovery", "ask") == "ask":
+        if streams > 1:
+            yield (
+                "caps.streamsPerConn",
+                f"{streams}, where the list is asked for a connection carries one work item",
+            )
+        if live:
+            yield "weightKind", "live, where the list is asked for weights would be older than what they tell"
+    elif streams == 1:
+        yield "caps.streamsPerConn", "1, where the list comes unasked a connection carries many work items"
+    if live and probing:
+        yield "caps.probing", "true, where weights are live load is told by the list"
+    if how == "on_probe" and not probing:
+        yield "loadReport.how", "on_probe, where probes are not allowed no report ever comes"
+    if _value(given, "charges.probe", 0) > 0 and not probing:
+        yield "charges.probe", "a price for probes, where they are not allowed"
+    if _value(given, "slotNo", 0) >= _value(given, "replicasOfMe", 1):
+        yield "slotNo", "not below replicasOfMe"
+
+
+def _value(given: dict[str, Any], key: str, default: Any = None) -> Any:
+    """The value of a key that may stand in a table; absent and null are the same."""
+    table, _, name = key.rpartition(".")
+    value = (_table(given, table) if table else given).get(name)
+    return default if value is None else value
+
+
 def decode(text: str) -> Terms:
     """The settings from JSON text; raises `msgspec.ValidationError` for what can't be used."""
     try:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -3,8 +3,8 @@
 import pytest
 from conftest import BUY, LOOK
 
-from starlingwheel.decisions.rules import LOST, UNSAID
-from starlingwheel.decisions.terms import Condition, Fate, News
+from starlingwheel.decisions.rules import LOST, UNSAID, Histogram
+from starlingwheel.decisions.terms import Condition, Fate, Listing, News
 
 TELLING = {"sidecars": 3, "peers_allowed": True}
 ASKING = {"sidecars": 400, "asking_allowed": True, "asking_price": 0.01}
@@ -398,3 +398,134 @@
     for _ in range(60):
         host.end(host.of(host.take())[0])
     assert sum(ho.upstream is slow for ho in host.sent[sent:]) < 6
+
+
+# A pool of many sidecars, connections that carry many and cost, a list that comes unasked.
+
+POOL = {"sidecars": 200, "must_subscribe": False, "streams": 100, "keeping_price": 0.03}
+
+
+def weighed(host, **sizes):
+    """The list gives sizes anew, as it does when they move with load."""
+    host.runner.listed(
+        News.CHANGES, [Listing(n, "here", 0, size, None, Condition.READY) for n, size in sizes.items()]
+    )
+
+
+def test_of_many_sidecars_each_uses_few_upstreams_and_all_are_used(make_host):
+    users = dict.fromkeys([f"u{i}" for i in range(30)], 0)
+    for number in range(60):
+        host = make_host(upstreams=30, seed=number, number=number, **POOL)
+        host.serve(12)
+        used = {ho.upstream.address for ho in host.sent}
+        assert len(used) <= 2
+        for name in used:
+            users[name] += 1
+    assert min(users.values()) >= 1 and max(users.values()) <= 12
+
+
+def test_a_sidecar_whose_upstreams_are_dead_goes_on_with_the_next_of_its_order(make_host):
+    host = make_host(upstreams=30, **POOL)
+    host.serve(12)
+    dead = {ho.upstream for ho in host.sent}
+    for _ in range(6):
+        wi = host.take()
+        while (ho := host.of(wi)[-1]).upstream in dead and ho.pending:
+            host.end(ho, Fate.UNREACHED)
+        if ho.pending:
+            host.end(ho)
+    assert host.answers(wi) == ["finished"] and host.of(wi)[0].upstream not in dead
+
+
+def test_hundreds_of_sidecars_keep_the_part_of_a_cold_upstream_though_few_may_use_it(make_host):
+    sent, cold = 0, "u3"
+    for number in range(200):
+        host = make_host(upstreams=30, seed=number, number=number, **POOL)
+        host.later(50.0)
+        host.listed(News.CHANGES, cold, started=50.0)
+        for _ in range(75):  # far more work than the upstream could do, at all of them in step
+            for ho in host.of(host.take()):
+                host.end(ho)
+            host.later(0.1)
+        sent += sum(ho.upstream.address == cold for ho in host.sent)
+    could_do = 7.5 * (0.25 + 0.95) / 2 / 0.125  # while it warms
+    assert 0 < sent <= 2.0 * could_do
+
+
+def test_a_size_that_moves_with_load_is_told_apart_from_it(make_host):
+    host = make_host(upstreams=2, sizes_move=True, **POOL)
+    weighed(host, u0=0.25, u1=1.0)
+    balancer = host.runner.balancer
+    full, free = balancer.upstreams["u0"], balancer.upstreams["u1"]
+    assert full.size == free.size == 1.0 and balancer._small(full) == 1.0
+    assert balancer._load(full) > balancer._load(free) and balancer._mean_elsewhere() > 1
+
+
+def test_what_the_list_does_not_name_anew_has_not_changed(make_host):
+    host = make_host(upstreams=8, sizes_move=True, **POOL)
+    for _ in range(10):
+        host.later(0.5)
+        weighed(host, u0=0.1)
+    idle = host.runner.balancer.upstreams["u5"]
+    assert host.runner.balancer._load(idle) < 2 and host.of(host.take())
+
+
+def test_a_moving_weight_is_no_change_of_membership(make_host):
+    host = make_host(upstreams=8, sizes_move=True, **POOL)
+    host.take()
+    weighed(host, u0=0.5)
+    assert not host.runner.balancer.stale_plan
+    host.listed(News.CHANGES, "u0", condition=Condition.DRAINING)
+    assert host.runner.balancer.stale_plan
+
+
+@pytest.mark.parametrize("cores", [1, 3])
+def test_how_many_an_upstream_does_at_a_time_is_learned_from_its_reports(make_host, cores):
+    host = make_host(**ASKING)
+    for i in range(400):
+        held = i % (2 * cores + 1)
+        host.runner.probed("u0", Fate.FINISHED, 0.01, {"held": held, "busy": min(held, cores) / cores})
+    assert abs(host.runner.balancer.at_once - cores) < 0.35
+
+
+def test_an_upstream_that_tells_of_errors_is_set_aside_at_the_first(make_host):
+    host = make_host(upstreams=2, **POOL)
+    ho = host.of(host.take())[0]
+    host.end(ho, Fate.ERROR, {"failing": 4.0, "served": 9.0})
+    assert not host.runner.balancer._trusted(ho.upstream, ho.wi)
+    other = make_host(upstreams=2, **POOL)
+    ho = other.of(other.take())[0]
+    other.end(ho, Fate.ERROR, {"failing": 0.1, "served": 9.0})
+    assert other.runner.balancer._trusted(ho.upstream, ho.wi)
+
+
+def test_late_answers_are_not_waited_for_where_they_are_worth_a_part(make_host):
+    late = type(LOOK)("late", LOOK.effect, 1.0, 1.0, 6.0, late_payoff=0.25)
+    host = make_host(categories=[late])
+    wi = host.take(late, patience=6.0)
+    host.later(1.0)
+    assert host.answers(wi) == ["deferred"]
+
+
+def test_one_is_asked_and_where_it_is_full_another_is_drawn(make_host):
+    host = make_host(upstreams=6, **(ASKING | POOL))
+    wi = host.take(BUY)
+    host.runner.probed(host.probes[0].address, Fate.TURNED_DOWN, 0.01, {})
+    assert len(host.probes) == 1 and host.of(wi)[0].upstream is not host.probes[0]
+
+
+def test_few_answers_are_kept_however_old_and_not_lost_all_at_once():
+    seen = Histogram(0.1, 1.5, 8, 400)
+    for _ in range(40):
+        seen.add(0.3)
+    assert 16 <= seen.aged(1000.0, 1.0, keep=32).total <= 32
+
+
+def test_an_unfinished_hand_off_tells_that_its_upstream_is_slow(make_host):
+    host = make_host(upstreams=1)
+    host.serve(8)
+    u, before = host.sent[0].upstream, host.runner.balancer._slowness(host.sent[0].upstream)
+    host.take()
+    host.later(0.9)
+    host.end(host.sent[-1], Fate.CANCELLED)
+    assert host.runner.balancer._slowness(u) > 1.5 * before
