--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -10,8 +10,7 @@
 piling up; least worth deferred first), 4 near, open, few first (priced), 5 observed pace, 6 word from
 elsewhere (load, silence, pace told by peers, by the list, or asked for, by price; warnings of errors).
 
-What one event costs depends neither on the size of the fleet nor on the number of sidecars, and what is not
-needed is not kept fresh: figures are aged when they are read.
+What one event costs depends neither on the size of the fleet nor on the number of sidecars.
 """
 
 from __future__ import annotations
@@ -150,8 +149,6 @@
 
 
 class Upstream:
-    """What this sidecar knows of one upstream."""
-
     def __init__(self, listing: Listing, now: float, users: float) -> None:
         self.address = listing.address
         self.tag = zlib.crc32(listing.address.encode()) & 0xFFFF
@@ -165,7 +162,6 @@
         self.update(listing, now)
 
     def forget(self, now: float) -> None:
-        """Nothing is known yet of the process that runs there."""
         self.pace: Histogram | None = None
         self.flow = Flow(now)
         self.sends: list[float] = []
@@ -203,7 +199,7 @@
         self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.beyond = Histogram(0.25, 1.4, 12, 400, now)
         self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
-        self.mean_size = 1.0
+        self.mean_size, self.patience = 1.0, dict.fromkeys(terms.categories, 0.0)
         self.reported, self.reports, self.reported_at = 0.0, 0.0, now
         self.held, self.busy, self.at_once = 0.0, 0.0, 1.0
         self.told: dict[tuple[int, int], tuple[float, int]] = {}
@@ -232,6 +228,12 @@
     def work(self, wi: WorkItem) -> Steps:
         due = wi.category.due_time + wi.category.stretch * wi.cost
         stake = (wi.category.payoff / self.best_payoff) ** LESS
+        first = self.patience[wi.category] = max(self.patience[wi.category], wi.patience * (not wi.repeat))
+        if wi.repeat and wi.patience < first * GIVE_UP:
+            # Guards against work for a client whose earlier tries have used up the due time.
+            due -= wi.category.expiry - wi.patience
+        if due <= 0:
+            due, stake = wi.patience, stake * wi.category.late_payoff
         # Guards against late answers, worth a part, taking the room of those that can still come in time.
         until = wi.arrived + min(due * GIVE_UP, wi.patience)
         handed: list[HandOff] = []
@@ -344,6 +346,8 @@
         but: Some = (),
         full: bool = False,
     ) -> Upstream | None:
+        if stake == 0 and self._crowded():
+            return None  # work that is worth nothing takes no room of work that is
         used = {*but, *(h.upstream for h in handed)}
         risky = next((h.upstream.listing for h in handed if h.may_have_run), None)
         kind = wi.category.group if risky is not None and wi.category.effect is Effect.TICKETED else Group.ALL
@@ -434,13 +438,11 @@
         return tells, terms.asking_allowed and not tells
 
     def _paid_for(self, category: Category, crowd: float = 0.0) -> int:
-        """How many questions what is known by them pays for."""
         # Guards against work of little payoff, sent blindly, filling the lines of a crowded fleet.
         gain = GAIN * max(1.0, crowd) * category.payoff / self.mean_payoff
         return int(gain / max(self.terms.asking_price, 1e-9))
 
     def _questions(self, category: Category) -> int:
-        """How many upstreams are asked, at most."""
         most = 1 if self.subset else 3
         return min(most, self._paid_for(category, self._mean_elsewhere())) if self.asks else 0
 
@@ -477,7 +479,6 @@
         return best if fits else self._draw(wi, [], due, stake, asked) if self.subset else None
 
     def _open(self, u: Upstream) -> bool:
-        """An idle connection to it is still there."""
         return bool(u.spare) and u.spare[-1] > self.now - KEPT * self.terms.keep_idle
 
     def _is_ready(self, u: Upstream) -> bool:
@@ -607,7 +608,6 @@
         return self.reported * faded / (0.5 + self.reports * faded)
 
     def _faded(self, since: float) -> float:
-        """What is left of the weight of something seen then."""
         return 0.5 ** ((self.now - since) / STALE / self.shortest)
 
     def _read(self, u: Upstream, report: dict[str, float]) -> None:
@@ -631,7 +631,8 @@
     def _slowness(self, u: Upstream) -> float:
         """Its times against those of its like; two answers' weight of doubt."""
         told = self._told_pace(u)
-        return told if u.pace is None else u.pace.aged(self.now, self.renewal, FEW).mean(prior=told, doubt=2)
+        few = 0 if self.tells else FEW
+        return told if u.pace is None else u.pace.aged(self.now, self.renewal, few).mean(prior=told, doubt=2)
 
     # Health: failures in a row set an upstream aside; a trickle that doubles brings it back.
 
@@ -755,7 +756,7 @@
         each = took / (self._stretch(u, ho.load) * small)
         if unfinished:
             # Guards against a slow upstream of which only the quick answers are ever seen.
-            if u.pace is not None and each / usual > self._slowness(u):
+            if u.pace is not None and not self.tells and each / usual > self._slowness(u):
                 u.pace.add(each / usual)
             return
         if self.near and u.listing.zone != self.terms.zone:
@@ -789,8 +790,6 @@
             return False
         return sum(at > self.now - span for at in u.sends) + 1 <= rate * span + 1e-9
 
-    # The list and reports.
-
     def listed(self, news: News, listings: list[Listing]) -> None:
         if news is News.FAILED:
             return
@@ -829,8 +828,6 @@
         else:
             self._note(u, bad=True)
 
-    # Standing chores.
-
     def chores(self) -> list[Steps]:
         return [self._follow_list()] if self.terms.must_subscribe else []
 
--- a/starlingwheel/net/wire/streams.py
+++ b/starlingwheel/net/wire/streams.py
@@ -32,6 +32,7 @@
     from .upstream import Upstream
 
 SETTINGS_FRAME = b"\x04"  # the type that the first frame has
+NO_STATUS = 1  # for one that is no number; read as an error that may have run
 WINDOW = 1 << 20  # bytes that an upstream may send ahead on one connection
 
 
@@ -110,7 +111,8 @@
 
     def _turn(self) -> Coroutine[None]:
         """Write what is to be written, then one word of the socket or one mail."""
-        self.stream.unwritten.append(self.http.data_to_send())
+        if data := self.http.data_to_send():
+            self.stream.unwritten.append(data)
         written = self.stream.write()
         self.stream.want(READ if written else READ | WRITE)
         if self.leaving and not self.streams:
@@ -241,7 +243,8 @@
         match event:
             case h2.events.ResponseReceived():
                 headers = dict(event.headers)
-                exchange.status = int(headers[b":status"])
+                status = headers[b":status"]
+                exchange.status = int(status) if status.isdigit() else NO_STATUS
                 exchange.headers = [(n, v) for n, v in event.headers if not n.startswith(b":")]
             case h2.events.DataReceived():
                 try:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -168,6 +168,13 @@
     assert len(host.of(heavy)) == 1
 
 
+def test_a_clients_late_try_is_worth_nothing_and_gives_way(host):
+    host.take(patience=2.5)
+    busy = [host.take(BUY) for _ in range(4)]
+    late = host.take(patience=1.5, repeat=True)
+    assert all(host.of(wi) for wi in busy) and host.answers(late) == ["deferred"]
+
+
 def test_a_started_stream_is_the_clients_and_has_no_due_time(host):
     wi = host.take()
     host.runner.started(host.of(wi)[0])
