What the list says an upstream holds is worked out once, when it is listed

It stood in _elsewhere, on the way of every draw, and again in listed(). The same figure; no behaviour changes.

--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -175,6 +175,7 @@
         self.listing = listing
         # A size that moves is the true one over one plus what is held: the most ever listed is nearest to it.
         self.size = max(self.size, listing.size) if moving else listing.size
+        self.held = self.size / max(listing.size, 1e-9) - 1
         if listing.started != self.started:
             # Guards against trusting what was learned of the process before the restart.
             self.started = listing.started
@@ -597,8 +598,7 @@
         mean = self._mean_elsewhere()
         if self.terms.sizes_move:
             # Guards against all sidecars, which read the same, filling what was free and leaving the full.
-            held = u.size / max(u.listing.size, 1e-9) - 1
-            return mean + (held - mean) * DAMPED * self._faded(self.reported_at)
+            return mean + (u.held - mean) * DAMPED * self._faded(self.reported_at)
         value, at = u.report or (mean, self.now)
         return mean + (value - mean) * 0.5 ** ((self.now - at) / self.shortest)
 
@@ -814,7 +814,7 @@
         if moving:
             # What is not listed anew has not changed: it counts as said again.
             self.reported_at, self.reports = self.now, len(self.upstreams)
-            self.reported = sum(u.size / max(u.listing.size, 1e-9) - 1 for u in self.upstreams.values())
+            self.reported = sum(u.held for u in self.upstreams.values())
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
         u = self.upstreams.get(address)
