--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -182,9 +182,6 @@
             self.forget(now)
 
 
-Some = Sequence[Upstream]
-
-
 class Balancer:
     def __init__(self, terms: Terms, chance: random.Random, now: float) -> None:
         self.terms, self.chance, self.now = terms, chance, now
@@ -192,8 +189,8 @@
         self.stale_plan = True
         self.near: list[Upstream] = []
         self.far: list[Upstream] = []
-        self.shortest = min(c.due_time for c in terms.categories)
-        self.longest = max(c.due_time for c in terms.categories)
+        due = [c.due_time for c in terms.categories]
+        self.shortest, self.longest = min(due), max(due)
         self.renewal = 2 * STALE * self.shortest
         self.best_payoff = max(c.payoff for c in terms.categories)
         self.mean_payoff = sum(c.payoff for c in terms.categories) / len(terms.categories)
@@ -218,12 +215,14 @@
         self.tagged: dict[int, Upstream] = {}
         self.suspects: dict[Upstream, None] = {}
         self.may_tell, self.told_at = AT_ONCE, now
-        self.bad, self.outcomes = 0.0, 1.0
         self.lately, self.noted_at = 0.0, now
-        self.out = 0
+        self.out, self.bad, self.outcomes = 0, 0.0, 1.0
         self.tells, self.asks = self._cheapest()
         self.trial = TRIALS / max(1.0, terms.sidecars / 16) if self.tells else TRIALS  # all see how one ends
 
+    def retune(self, terms: Terms) -> None:
+        self.terms = terms
+
     # The ordinary path.
 
     def work(self, wi: WorkItem) -> Steps:
@@ -344,7 +343,7 @@
         handed: list[HandOff],
         due: float,
         stake: float,
-        but: Some = (),
+        but: Sequence[Upstream] = (),
         full: bool = False,
     ) -> Upstream | None:
         if stake == 0 and self._crowded():
@@ -783,7 +782,7 @@
         if u.phase is None:
             u.phase = self.chance.random()
         each = max(self._typical(c) for c in self.terms.categories) * self._small(u) / self.at_once
-        rate = CAREFUL * self.terms.fall_multiple * warmth / each / u.users
+        rate = CAREFUL * self.terms.fall_multiple * warmth / each / u.users / self.terms.processes
         span = max(self.terms.fall_span, 1 / rate)
         # Guards against hundreds of sidecars that each send the first of their part at once.
         if span > self.terms.fall_span and self.now < u.turn + u.phase * span:
@@ -817,8 +816,7 @@
             self.reported = sum(u.held for u in self.upstreams.values())
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
-        u = self.upstreams.get(address)
-        if u is None:
+        if (u := self.upstreams.get(address)) is None:
             return
         self._read(u, report)
         if fate is Fate.FINISHED:
--- a/starlingwheel/decisions/runner.py
+++ b/starlingwheel/decisions/runner.py
@@ -136,6 +136,9 @@
         self._due.append((task, Asked(upstream, fate)))
         self._run()
 
+    def retune(self, terms: Terms) -> None:
+        self.balancer.retune(terms)
+
     def heard(self, peer: int, body: bytes) -> None:
         self.balancer.heard(peer, body)
 
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -98,6 +98,7 @@
     connect_within: float = 0.0
     keep_idle: float = 0.0
     number: int = 0
+    processes: int = 1  # of this sidecar, which share its part of what is cold
     customers: list[Customer] = []
 
 
--- a/starlingwheel/net/lifecycle/config.py
+++ b/starlingwheel/net/lifecycle/config.py
@@ -32,6 +32,7 @@
     peers: list[str] = []
     peers_all: str = ""
     known: Word | None = None
+    mgmt: str = ""
 
 
 class Unusable(Exception):
@@ -45,7 +46,8 @@
     try:
         with open(path, "rb") as file:
             config = msgspec.json.decode(file.read(), type=Config)
-        for field in ("listen", "discovery"):
+        config = msgspec.structs.replace(config, mgmt=environment.get("EDGE_MGMT") or config.mgmt)
+        for field in ("listen", "discovery", "mgmt")[: 3 if config.mgmt else 2]:
             split(getattr(config, field))
     except (OSError, msgspec.DecodeError, ValueError) as error:
         raise Unusable(f"{path}: {error}") from error
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -17,9 +17,11 @@
 from ...decisions.terms import News, Terms
 from ..actor import Actor
 from ..loop import Loop
-from ..mail import Listed
+from ..mail import DRAIN, Listed, Retuned
+from ..memory.beside import Beside
 from ..memory.buffers import SIZE, Pool
 from ..memory.connections import Ledger
+from ..memory.out import Out
 from ..module import Module
 from ..wire.address import split
 from ..wire.client import BACKLOG, Listener
@@ -29,7 +31,7 @@
 from .config import Config, Unusable, configured
 from .log import Log
 from .signals import Signals
-from .stop import Pulse, Stopper
+from .stop import Drainer, Pulse, Stopper
 
 COLLECT = 10_000  # objects more than were freed, after which cycles are looked for
 BUFFERS = 1 / 3  # part of the memory limit that buffers may take
@@ -47,8 +49,12 @@
         self.loop = Loop(self.defect)
         self.log = Log(self.loop.now, log_fd)
         self.loop.each_turn = self.log.flush
-        self.pool = Pool(int(config.limits.memory_mb * BUFFERS * 2**20 / SIZE))
-        self.ledger = Ledger(config.limits.sockets)
+        self.passed = environment.get("EDGE_PASSED_SOCKET", "")
+        self.pool = Pool(0)
+        self.ledger = Ledger(config.limits.sockets, bool(config.mgmt))
+        self.beside: Beside | None = None
+        self.share(1)
+        self.out = Out(environment.get("TMPDIR") if config.mgmt else None, self.loop.now, self.log)
         self.in_hand: set[bytes] = set()  # the traces of what clients wait for
         self.resets_until = -inf  # until then connections to upstreams are taken to break at any time
         self.stopping = False
@@ -61,16 +67,54 @@
         self.chance = random.Random(config.seed)
         self.list = List(self, config.known.version if config.known else 0)
         self.module = Module(self)
-        self.listener = Listener(self, self._bound(socket.SOCK_STREAM, config.listen))
+        self.listener = Listener(
+            self, self._passed() if self.passed else self._bound(socket.SOCK_STREAM, config.listen)
+        )
         if config.peer_listen and terms.peers_allowed:
             self.datagrams = Datagrams(self, self._bound(socket.SOCK_DGRAM, config.peer_listen))
         self.pulse = Pulse(self)
-        self.stopper = Stopper(self)
+        self.stopper, self.drainer = Stopper(self), Drainer(self)
+        self.operators: Any = None
+        if config.mgmt:
+            from ..wire.operators import Operators  # costs a start without it no import
+
+            self.operators = Operators(self, self._bound(socket.SOCK_STREAM, config.mgmt))
         self.signals = Signals(self)
 
+    def share(self, processes: int) -> None:
+        """So many processes of this sidecar share its limits and its part of each cold upstream."""
+        limits = self.config.limits
+        self.processes = processes
+        self.pool.limit(int(limits.memory_mb * BUFFERS * 2**20 / SIZE / processes))
+        self.ledger.limit(limits.sockets // processes)
+
+    def look_beside(self) -> None:
+        processes = 1 + (self.beside is not None and self.beside.others())
+        if processes != self.processes:
+            self.log("processes", count=processes)
+            self.share(processes)
+            self.retune(msgspec.structs.replace(self.terms, processes=processes))
+
+    def retune(self, terms: Terms) -> None:
+        self.terms = terms
+        self.module.post(Retuned(terms))
+
+    def _passed(self) -> socket.socket:
+        """The clients' listening socket, where the platform holds it."""
+        try:
+            sock = socket.socket(fileno=int(self.passed))
+            listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        except (OSError, ValueError) as error:
+            raise Unusable(f"EDGE_PASSED_SOCKET: {self.passed!r}: {error}") from error
+        if not listening:
+            sock.detach()
+            raise Unusable(f"EDGE_PASSED_SOCKET: {self.passed!r} is no listening socket")
+        return sock
+
     def _bound(self, kind: socket.SocketKind, address: str) -> socket.socket:
         sock = socket.socket(socket.AF_INET, kind)
-        if kind is socket.SOCK_STREAM:
+        if kind is socket.SOCK_STREAM or self.passed:
+            # Of datagrams: where a process is replaced both have the address, and the last one hears.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind(split(address))
@@ -86,13 +130,43 @@
             self.datagrams.begin()
         for actor in (self.signals, self.list, self.module, self.listener, self.pulse, self.stopper):
             actor.begin()
+        self.drainer.begin()
+        if self.passed and (folder := self.environment.get("TMPDIR")):
+            try:
+                self.beside = Beside(folder)
+            except OSError as error:
+                self.log("beside.failed", error=str(error))
+            self.look_beside()
         # What was known last may be old, or nothing; the decisions begin with it and ask for the list.
-        self.module.post(Listed(News.WHOLE, self.config.known.servers if self.config.known else []))
+        known = self.config.known.servers if self.config.known else []
+        self.module.post(Listed(News.WHOLE, self.out.listed(True, known)))
+        if self.operators is not None:
+            self.operators.begin()
         limits = msgspec.structs.asdict(self.config.limits)
         times = {"shortest_ms": self.shortest * 1000, "longest_ms": self.longest * 1000}
         name, listen = self.config.name, self.config.listen
         self.log("start", name=name, listen=listen, pid=os.getpid(), **limits, **times)
 
+    @property
+    def takes_clients(self) -> bool:
+        return self.module.listed and not self.stopping
+
+    @property
+    def ready(self) -> bool:
+        """What the front is told. One that is being replaced does not speak for the sidecar."""
+        return self.module.listed and not (self.stopping and not self.passed) and not self.lameduck
+
+    @property
+    def lameduck(self) -> bool:
+        return self.out.kept.lameduck
+
+    def changed(self, entries: list[Any]) -> None:
+        """Operators have said something, to this process or to the other one of this sidecar."""
+        if entries:
+            self.module.post(Listed(News.CHANGES, entries))
+        if self.lameduck != self.drainer.on:
+            self.drainer.post(DRAIN)
+
     def defect(self, actor: Actor, error: Exception) -> None:
         self.log.defect("defect", error, actor=type(actor).__name__)
 
--- a/starlingwheel/net/lifecycle/stop.py
+++ b/starlingwheel/net/lifecycle/stop.py
@@ -25,15 +25,50 @@
         yield None
         node.stopping = True  # from now on each answer says that its connection closes
         node.log("stop", clients=len(node.ledger.clients), in_hand=len(node.module.jobs))
-        yield self.loop.now() + LINGER
+        # Where another process has the socket too new connections are its; else they go on coming.
+        if not node.passed:
+            yield self.loop.now() + LINGER
         node.listener.post(STOP)
+        if node.passed:
+            yield self.loop.now() + LINGER
         while node.ledger.clients or not node.listener.ended:
-            for client in list(node.ledger.clients):
-                client.post(STOP)
+            end_idle_clients(node)
             yield self.loop.now() + node.shortest / 64
         self.loop.stop()
 
 
+class Drainer(Actor):
+    """Sends clients away while operators say so, and the process stays."""
+
+    lasting = True
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.on = False
+        super().__init__(node.loop)
+
+    def run(self) -> Coroutine[None]:
+        node = self.node
+        while True:
+            if node.lameduck == self.on:
+                yield None
+                continue
+            self.on = node.lameduck
+            node.log("lameduck", on=self.on, clients=len(node.ledger.clients), in_hand=len(node.module.jobs))
+            # Clients go on coming for a moment after the first no; each answer ends its connection.
+            until = self.loop.now() + LINGER
+            while node.lameduck and self.loop.now() < until:
+                yield until
+            while node.lameduck:
+                end_idle_clients(node)
+                yield self.loop.now() + node.shortest / 16
+
+
+def end_idle_clients(node: Node) -> None:
+    for client in list(node.ledger.clients):
+        client.post(STOP)
+
+
 class Pulse(Actor):
     """Says now and then how the sidecar is."""
 
@@ -54,6 +89,8 @@
                 **node.module.counts,
                 in_hand=len(node.module.jobs),
                 upstreams=len(node.module.upstreams),
+                out=len(node.out.kept.out),
+                lameduck=node.lameduck,
                 connections=len(node.ledger.clients) + len(node.ledger.upstream),
                 most_connections=node.ledger.worst,
                 buffers=node.pool.made,
--- a/starlingwheel/net/mail.py
+++ b/starlingwheel/net/mail.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ..decisions.terms import Fate, News
+from ..decisions.terms import Fate, News, Terms
 from .memory.work import Answer, Errand, Job
 
 
@@ -93,6 +93,13 @@
     entry: Any
 
 
+@dataclass(slots=True, eq=False)
+class Retuned:
+    """To the module: new terms; work in hand keeps those it was taken with."""
+
+    terms: Terms
+
+
 class Subscribe:
     """To the list: begin a watch."""
 
@@ -123,8 +130,12 @@
     """To whoever listens or holds a connection: end as soon as nothing is owed."""
 
 
+class Drain:
+    """To the one that sends clients away: operators have said so, or that it is over."""
+
+
 class Close:
     """To an idle connection: its room is needed, or it can't be used again."""
 
 
-SUBSCRIBE, STOP, CLOSE = Subscribe(), Stop(), Close()
+SUBSCRIBE, STOP, CLOSE, DRAIN = Subscribe(), Stop(), Close(), Drain()
--- a/starlingwheel/net/memory/buffers.py
+++ b/starlingwheel/net/memory/buffers.py
@@ -13,22 +13,29 @@
 
 class Pool:
     def __init__(self, most: int) -> None:
-        self.most = most
         self.made = 0
         self.free: list[bytearray] = []
         # Reading has a buffer of its own, empty again before the next turn: a full pool stops no read.
         self.scratch = bytearray(LONGEST_BODY)
+        self.limit(most)
+
+    def limit(self, most: int) -> None:
+        """So many buffers may be made from now on."""
+        self.most = most
         self.longest_answer = max(LONGEST_BODY, int(most * ANSWER) * SIZE)
 
     def take(self) -> bytearray:
         if self.free:
             return self.free.pop()
-        if self.made == self.most:
+        if self.made >= self.most:
             raise Exhausted
         self.made += 1
         return bytearray(SIZE)
 
     def give(self, buffer: bytearray) -> None:
+        if self.made > self.most:
+            self.made -= 1
+            return
         self.free.append(buffer)
 
     @property
--- a/starlingwheel/net/memory/connections.py
+++ b/starlingwheel/net/memory/connections.py
@@ -6,16 +6,14 @@
 
 REQUESTS = 1 / 3  # part of the limit that clients hold for requests, at most
 OPEN = 7 / 8  # part of that many connections of clients from which on those of no use are closed
+CALLS = 1 / 32  # part of the limit for operators' calls, where they have an address
 SPARE = 1 / 16  # part of the limit for the list, peers and the log; as much again for clients of no use
 
 
 class Ledger:
-    def __init__(self, most: int) -> None:
-        self.spare = max(16, int(most * SPARE))
-        self.most_requests = max(1, int(most * REQUESTS))  # in hand at a time
-        # Guards against connections that asked once and stay using up what clients may hold.
-        self.client_share = max(1, int(self.most_requests * OPEN))
-        self.share = max(1, most - self.most_requests - 2 * self.spare)  # for upstreams
+    def __init__(self, most: int, called: bool = False) -> None:
+        self.called = called
+        self.limit(most)
         self.clients: dict[Any, None] = {}
         self.upstream: dict[Any, None] = {}
         self.idle: dict[Any, None] = {}  # of those to upstreams, the longest idle first
@@ -24,6 +22,15 @@
         self.leaving: dict[Any, None] = {}  # those that have their last answer
         self.worst = 0
 
+    def limit(self, most: int) -> None:
+        """So many may be in use in all, from now on."""
+        self.spare = max(16, int(most * SPARE))
+        self.calls = max(8, int(most * CALLS)) if self.called else 0
+        self.most_requests = max(1, int(most * REQUESTS))  # in hand at a time
+        # Guards against connections that asked once and stay using up what clients may hold.
+        self.client_share = max(1, int(self.most_requests * OPEN))
+        self.share = max(1, most - self.most_requests - 2 * self.spare - self.calls)  # for upstreams
+
     @property
     def full(self) -> bool:
         """One client more keeps a connection than there is room for."""
--- a/starlingwheel/net/module.py
+++ b/starlingwheel/net/module.py
@@ -11,7 +11,7 @@
 from ..decisions.runner import Runner
 from ..decisions.terms import Fate, HandOff, News, Outcome, WorkItem
 from .actor import Actor, Coroutine
-from .mail import SUBSCRIBE, Carry, Drop, Ended, Final, Heard, Left, Listed, Moved, Taken
+from .mail import SUBSCRIBE, Carry, Drop, Ended, Final, Heard, Left, Listed, Moved, Retuned, Taken
 from .memory.work import Errand, Job
 from .wire.upstream import Upstream
 
@@ -68,6 +68,8 @@
                     self._forget_if_closed(job)
             case Listed(news, entries):
                 self._listed(news, entries)
+            case Retuned(terms):
+                self.runner.retune(terms)
             case Heard(peer, body):
                 self.runner.heard(peer, body)
 
@@ -157,7 +159,8 @@
         self._carry(Errand(upstream, carrier, now, now + self.node.shortest / 2))
 
     def tell(self, body: bytes) -> None:
-        if self.node.datagrams is not None:
+        # Guards against peers hearing two counts of one sidecar: of two processes the last one tells.
+        if self.node.datagrams is not None and not (self.node.stopping and self.node.passed):
             self.node.datagrams.tell(body)
 
     def alarm(self, at: float) -> None:
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -54,7 +54,8 @@
                 self.loop.watch(self.sock.fileno(), self, READ)
             else:
                 mail = yield None
-        while not self._accept():
+        # What waits at a socket that another process of this sidecar has too is left to that one.
+        while not self.node.passed and not self._accept():
             yield self.loop.now() + self.node.shortest / 64
         self.loop.forget(self.sock.fileno())
         self.sock.close()
@@ -121,7 +122,7 @@
             if request is None:
                 return
             if request.target == b"/ready":
-                status = 200 if self.node.module.listed and not self.node.stopping else 503
+                status = 200 if self.node.ready else 503
             else:
                 job = self._take(request)
                 final = yield from self._in_hand(job)
@@ -302,7 +303,8 @@
         if final and final.come_back > 0:
             headers.append((b"Retry-After", f"{final.come_back:.3f}".encode()))
         unread = self.stream.http.their_state is not h11.DONE
-        last = last or unread or self.node.stopping or self.closing or self.node.ledger.full
+        node = self.node
+        last = last or unread or node.stopping or node.lameduck or self.closing or node.ledger.full
         if last:
             headers.append((b"Connection", b"close"))
         try:
--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -204,7 +204,7 @@
                 before.post(CLOSE)
         if watch is self.current:
             self.version, self.pause = word.version, 0.0
-            self.node.module.post(Listed(word.news, word.servers))
+            self.node.module.post(Listed(word.news, self.node.out.listed(word.full, word.servers)))
 
     def _ended(self, watch: Watch) -> None:
         if watch is self.coming:
--- /dev/null
+++ b/starlingwheel/net/wire/operators.py
@@ -0,0 +1,229 @@
+"""Operators' calls: a second address, HTTP/1.1, one call to a connection, answered ahead of clients' work."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import h11
+import msgspec
+
+from ..actor import Actor, Coroutine
+from ..loop import READ, WRITE, Ready
+from ..mail import CLOSE
+from ..memory.out import Busy
+from .http import Lost, Stream
+
+if TYPE_CHECKING:
+    from ..lifecycle.start import Node
+
+BACKLOG = 128
+AT_ONCE = 16  # calls accepted in one turn
+LOOK = 0.05  # seconds between looks at what the other process of this sidecar was told
+QUIET = 2.0  # seconds after which a call that is not whole ends
+DUE = 1.0  # seconds within which an answer is due
+LONGEST = 4096
+OK, BAD, UNKNOWN, METHOD, LATE, LONG, NOT_NOW = 200, 400, 404, 405, 408, 413, 503
+
+
+class Named(msgspec.Struct):
+    id: str
+
+
+class Refused(Exception):
+    """The call gets a no."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        self.status, self.reason = status, reason
+
+
+class Operators(Actor):
+    """The second address. It also looks at what another process of this sidecar was told."""
+
+    urgent = True
+    lasting = True
+
+    def __init__(self, node: Node, sock: socket.socket) -> None:
+        self.node, self.sock = node, sock
+        self.calls: dict[Call, None] = {}
+        sock.setblocking(False)
+        node.loop.watch(sock.fileno(), self, READ)
+        super().__init__(node.loop)
+
+    def run(self) -> Coroutine[None]:
+        while True:
+            mail = yield self.loop.now() + LOOK
+            if isinstance(mail, Ready):
+                self._accept()
+            self.node.changed(self.node.out.read())
+            self.node.out.keep()
+            self.node.look_beside()
+
+    def _accept(self) -> None:
+        for _ in range(AT_ONCE):
+            if len(self.calls) >= self.node.ledger.calls:
+                # Guards against callers that say nothing keeping out those who call: the oldest one goes.
+                oldest = next(iter(self.calls))
+                del self.calls[oldest]
+                oldest.post(CLOSE)
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.node.log("accept.failed", error=str(error))
+                return
+            Call(self.node, self, sock).begin()
+
+
+class Call(Actor):
+    """One connection of an operator: one call, read, carried out and answered."""
+
+    urgent = True
+
+    def __init__(self, node: Node, operators: Operators, sock: socket.socket) -> None:
+        self.node, self.operators = node, operators
+        self.stream = Stream(node.loop, self, sock, h11.SERVER, node.pool)
+        self.until = 0.0
+        operators.calls[self] = None
+        super().__init__(node.loop)
+
+    def run(self) -> Coroutine[None]:
+        target, name, reason = "", "", ""
+        opened = self.loop.now()
+        try:
+            try:
+                request, body = yield from self._read(opened + QUIET)
+                target = f"{request.method.decode()} {request.target.decode('latin-1')}"
+                name = yield from self._carry_out(request, body, self.loop.now() + DUE * 0.9)
+                status = OK
+            except Refused as refused:
+                status, reason = refused.status, refused.reason
+            took = round((self.loop.now() - opened) * 1000, 1)
+            self.node.log("operator.call", call=target, id=name, status=status, reason=reason, took_ms=took)
+            yield from self._write(status)
+        except Lost as lost:
+            self.node.log("operator.left", call=target, reason=str(lost))
+        except GeneratorExit:
+            pass
+        finally:
+            self.operators.calls.pop(self, None)
+            self.stream.close()
+
+    def _read(self, until: float) -> Coroutine[tuple[h11.Request, bytes]]:
+        request, body = None, b""
+        self.stream.want(READ)
+        while True:
+            try:
+                event = self.stream.event()
+            except Lost as lost:
+                raise Refused(BAD, str(lost)) from lost
+            if isinstance(event, h11.Request):
+                request = event
+                names = [name for name, _ in event.headers]
+                if b"content-length" in names and b"transfer-encoding" in names:
+                    raise Refused(BAD, "two lengths")
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+                if len(body) > LONGEST:
+                    raise Refused(LONG, "body too long")
+            elif isinstance(event, h11.EndOfMessage):
+                if self.stream.http.trailing_data[0].strip():
+                    raise Refused(BAD, "more than one call")
+                return request, body
+            elif isinstance(event, h11.ConnectionClosed):
+                raise Lost("caller-left")
+            else:
+                if self.stream.http.they_are_waiting_for_100_continue:
+                    self.stream.put(h11.InformationalResponse(status_code=100, headers=[]))
+                    self.stream.write()
+                mail = yield until
+                if mail is CLOSE:
+                    raise Lost("not-needed")
+                if mail is None:
+                    raise Refused(LATE, "half a call" if request else "no call")
+                self.stream.read()
+
+    def _carry_out(self, request: h11.Request, body: bytes, until: float) -> Coroutine[str]:
+        """Does what the call says; the id that it names."""
+        path = request.target.partition(b"?")[0]
+        wanted = b"GET" if path == b"/_ready" else b"PUT"
+        if path not in CALLS:
+            raise Refused(UNKNOWN, "unknown path")
+        if request.method != wanted:
+            raise Refused(METHOD, "wrong method")
+        while True:
+            try:
+                return CALLS[path](self.node, body)
+            except Busy:
+                # Guards against waiting for a lock with the loop standing still.
+                if self.loop.now() >= until:
+                    raise Refused(NOT_NOW, "the other process holds the file") from None
+                yield self.loop.now() + DUE / 100
+            except OSError as error:
+                raise Refused(NOT_NOW, f"not written: {error.strerror}") from error
+
+    def _write(self, status: int) -> Coroutine[None]:
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if self.stream.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return  # what came was no HTTP at all, and h11 has nothing to answer to
+        self.stream.put(h11.Response(status_code=status, headers=headers), h11.EndOfMessage())
+        until = self.loop.now() + DUE
+        while not self.stream.write():
+            self.stream.want(WRITE)
+            if (yield until) is None:
+                raise Lost("slow-reader")
+        # Answered: it makes room before those that have not said anything yet.
+        self.operators.calls.pop(self, None)
+        self.operators.calls = {self: None, **self.operators.calls}
+        yield from self.stream.finish(self.loop.now() + QUIET / 4, LONGEST)
+
+
+def _named(body: bytes) -> str:
+    try:
+        name = msgspec.json.decode(body, type=Named).id
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise Refused(BAD, str(error)) from error
+    if not name:
+        raise Refused(BAD, "id is empty")
+    return name
+
+
+def _ready(node: Node, body: bytes) -> str:
+    if not node.takes_clients:
+        raise Refused(NOT_NOW, "no list yet, or stopping")
+    return ""
+
+
+def _detach(node: Node, body: bytes) -> str:
+    return _moved(node, _named(body), node.out.take_out)
+
+
+def _attach(node: Node, body: bytes) -> str:
+    return _moved(node, _named(body), node.out.put_back)
+
+
+def _moved(node: Node, name: str, move: Callable[[str], list[Any] | None]) -> str:
+    if (changed := move(name)) is None:
+        raise Refused(UNKNOWN, f"{name!r} was never listed")
+    node.changed(changed)
+    return name
+
+
+def _lameduck(on: bool) -> Callable[[Node, bytes], str]:
+    def said(node: Node, body: bytes) -> str:
+        node.out.lameduck(on)
+        node.changed([])
+        return ""
+
+    return said
+
+
+CALLS = {
+    b"/_ready": _ready,
+    b"/_upstreams/detach": _detach,
+    b"/_upstreams/attach": _attach,
+    b"/_lameduck/on": _lameduck(True),
+    b"/_lameduck/off": _lameduck(False),
+}
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -135,9 +135,13 @@
                 held.remove(connection)
 
     def _moved(self, entry: Any) -> None:
-        """Idle connections to a process that has gone, or to an address that it had, are of no use."""
+        """Idle connections to a process that goes or has gone, or to its old address, are of no use."""
         before = self.entry
-        if entry is None or (entry.addr, entry.started_ms) != (before.addr, before.started_ms):
+        if (
+            entry is None
+            or entry.state == "leaving"
+            or (entry.addr, entry.started_ms) != (before.addr, before.started_ms)
+        ):
             for connection in [*self.idle, *self.shared]:
                 self._no_longer_idle(connection)
                 connection.post(CLOSE)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -182,7 +182,7 @@
     Nothing happens behind its back: the sidecar's loop turns only while the story waits for something.
     """
 
-    def __init__(self, upstreams=1, limits=None, settings=None, **config):
+    def __init__(self, upstreams=1, limits=None, settings=None, environment=None, **config):
         self.open = []
         self.listeners = [self.keep(bound()) for _ in range(upstreams)]
         self.discovery, self.peer = self.keep(bound()), self.keep(bound(socket.SOCK_DGRAM))
@@ -201,7 +201,7 @@
         self.told = told | config
         self.file = self.keep(tempfile.NamedTemporaryFile())  # noqa: SIM115
         self.write_configuration()
-        environment = {"EDGE_CONFIG": self.file.name}
+        environment = {"EDGE_CONFIG": self.file.name} | (environment or {})
         self.node = Node(*configured(environment), environment, log_fd=self.log.fileno())
         self.node.begin()
         self.until(lambda: not self.node.module.mailbox)
@@ -277,6 +277,13 @@
         client.sendall(self.request(category, body, **headers))
         return client
 
+    def call(self, lead, body=b"", extra=""):
+        """An operator's call; the status of its answer, None for a close without one."""
+        caller = self.keep(socket.create_connection(self.node.operators.sock.getsockname()))
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        caller.sendall(f"{lead} HTTP/1.1\r\nHost: a\r\n{length}{extra}\r\n".encode() + body)
+        return self.status(caller)
+
     def answer(self, sock, role=h11.CLIENT):
         """The next whole message on a connection, None when it has ended without one."""
         http, events, body = h11.Connection(role), [], b""
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,432 @@
+"""Stories of operators' calls: who is out, sending clients away, and replacing the process."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import msgspec
+import pytest
+from conftest import SETTINGS, address, bound
+
+from starlingwheel.decisions.terms import Condition
+from starlingwheel.net.lifecycle.config import Unusable
+from starlingwheel.net.memory.beside import Beside
+from starlingwheel.net.memory.connections import Ledger
+from starlingwheel.net.memory.out import FILE, MOST_KNOWN, Busy, Out
+from starlingwheel.net.wire.discovery import Entry
+
+
+@pytest.fixture
+def operated(make_surroundings, tmp_path):
+    def make(**given):
+        return make_surroundings(mgmt="127.0.0.1:0", environment={"TMPDIR": str(tmp_path)}, **given)
+
+    return make
+
+
+def named(name):
+    return json.dumps({"id": name}).encode()
+
+
+def believed(around, name):
+    return around.node.module.runner.balancer.upstreams[name].listing
+
+
+def detach(around, name="s0"):
+    return around.call("PUT /_upstreams/detach", named(name))
+
+
+def attach(around, name="s0"):
+    return around.call("PUT /_upstreams/attach", named(name))
+
+
+# The calls.
+
+
+def test_it_says_when_it_takes_clients(operated):
+    around = operated(known=None)
+    assert around.call("GET /_ready") == 503
+    around.watch({"version": 9, "full": True, "servers": [around.entry(0)]})
+    around.until(lambda: around.logged("list.news"))
+    assert around.call("GET /_ready") == 200
+
+
+@pytest.mark.parametrize(
+    ("lead", "body", "extra", "status"),
+    [
+        ("PUT /_upstreams/detach", b"", "", 400),
+        ("PUT /_upstreams/detach", b"[]", "", 400),
+        ("PUT /_upstreams/detach", b"{", "", 400),
+        ("PUT /_upstreams/detach", b"{}", "", 400),
+        ("PUT /_upstreams/detach", b'{"id":""}', "", 400),
+        ("PUT /_upstreams/detach", b'{"id":7}', "", 400),
+        ("PUT /_upstreams/detach", b'{"id":"\xff"}', "", 400),
+        ("PUT /_upstreams/detach", named("nobody"), "", 404),
+        ("PUT /_upstreams/attach", named("nobody"), "", 404),
+        ("PUT /_upstreams/detach", named("s0") + b" " * 5000, "", 413),
+        ("PUT /_upstreams/detach", named("s0"), "Transfer-Encoding: chunked\r\n", 400),
+        ("PUT /_upstreams", named("s0"), "", 404),
+        ("POST /_upstreams/detach", named("s0"), "", 405),
+        ("GET /_lameduck/on", b"", "", 405),
+        ("PUT /_ready", b"", "", 405),
+        ("nothing", b"", "", 400),
+    ],
+)
+def test_what_is_no_call_gets_a_no_and_changes_nothing(operated, lead, body, extra, status):
+    around = operated()
+    assert around.call(lead, body, extra) == status
+    assert not around.node.out.kept.out and not around.node.lameduck
+    assert believed(around, "s0").condition is Condition.READY
+    assert [line["status"] for line in around.logged("operator.call")] == [status]
+
+
+def test_two_calls_on_one_connection_are_neither_carried_out(operated):
+    around = operated()
+    body = named("s0")
+    extra = f"Content-Length: {len(body)}\r\n\r\n{body.decode()}PUT /_lameduck/on HTTP/1.1\r\nHost: a\r\n"
+    assert around.call("PUT /_upstreams/detach", extra=extra) == 400
+    assert not around.node.out.kept.out and not around.node.lameduck
+
+
+def test_callers_that_say_nothing_keep_nobody_out(operated):
+    around = operated(limits={"sockets": 256})
+    place = around.node.operators.sock.getsockname()
+    silent = [around.keep(socket.create_connection(place)) for _ in range(20)]
+    for one in silent[::2]:
+        one.sendall(b"PUT /_upstreams/detach HTTP/1.1\r\nHost:")
+    around.let_pass(0.05)
+    assert len(around.node.operators.calls) <= around.node.ledger.calls
+    assert detach(around) == 200
+    # What has no room goes, the oldest first; what has room ends by itself.
+    assert around.until(lambda: around.read(silent[0])) == b"end"
+
+
+def test_a_second_address_that_is_in_use_ends_the_start_with_one_line(make_surroundings, around):
+    with pytest.raises(Unusable) as refused:
+        make_surroundings(mgmt=address(around.listeners[0]))
+    assert "\n" not in str(refused.value)
+
+
+def test_without_a_second_address_nothing_listens(around):
+    assert around.node.operators is None and around.node.ledger.calls == 0
+    assert Ledger(1024).share > Ledger(1024, called=True).share
+
+
+# Taking an upstream out.
+
+
+def test_what_is_taken_out_gets_nothing_whatever_the_list_says(operated):
+    around = operated(upstreams=2)
+    watch, _ = around.watch(b"")
+    assert detach(around) == 200 and detach(around) == 200
+    for word in (
+        {"version": 8, "servers": [around.entry(0, started_ms=5)]},
+        {"version": 9, "servers": [around.entry(0, state="left")]},
+        {"version": 10, "full": True, "servers": [around.entry(0), around.entry(1)]},
+    ):
+        around.say(watch, word)
+        around.until(lambda: around.node.list.version == word["version"])  # noqa: B023
+        for _ in range(4):
+            client = around.ask(connection="close")
+            around.serve(i=1, extra="Connection: close\r\n")
+            assert around.status(client) == 200
+    around.quiet(0)
+
+
+def test_one_call_back_ends_it_and_it_counts_as_cold(operated):
+    around = operated(settings={"rules": {"mustAskIn": 800000, "cold": 8000000, "coldShare": 0.3}})
+    around.watch(b"")
+    before = believed(around, "s0")
+    assert attach(around) == 200  # it was not out
+    assert believed(around, "s0") == before
+    assert detach(around) == 200 and detach(around) == 200
+    around.until(lambda: believed(around, "s0").condition is Condition.DRAINING)
+    assert attach(around) == 200
+    around.until(lambda: believed(around, "s0").condition is Condition.READY)
+    # Discovery has not said yet that it was restarted.
+    assert believed(around, "s0").started > around.node.loop.now() - 5
+    assert (
+        around.node.module.runner.balancer._warmth(around.node.module.runner.balancer.upstreams["s0"]) < 0.5
+    )
+
+
+def test_once_the_list_tells_of_the_restart_that_counts(operated):
+    around = operated()
+    watch, _ = around.watch(b"")
+    assert detach(around) == 200 and attach(around) == 200
+    started = (time.time() - 1) * 1000
+    around.say(watch, {"version": 8, "servers": [around.entry(0, started_ms=started)]})
+    around.until(lambda: believed(around, "s0").started == started / 1000)
+
+
+def test_idle_connections_to_what_is_taken_out_are_closed(operated):
+    around = operated()
+    client = around.ask()
+    upstream = around.serve()
+    assert around.status(client) == 200
+    assert detach(around) == 200
+    assert around.until(lambda: around.read(upstream)) == b"end"
+
+
+def test_what_is_said_to_one_process_holds_in_the_other_and_in_the_next(operated):
+    one, other = operated(), operated()
+    assert detach(one) == 200
+    other.until(lambda: believed(other, "s0").condition is Condition.DRAINING)
+    assert other.call("PUT /_lameduck/on") == 200
+    one.until(lambda: one.node.lameduck)
+    assert attach(other) == 200
+    one.until(lambda: believed(one, "s0").condition is Condition.READY)
+    assert detach(other) == 200
+    after = operated(known={"version": 7, "full": True, "servers": []})
+    assert after.node.out.kept.out and after.node.lameduck
+    assert after.call("PUT /_lameduck/off") == 200
+    # Nobody has listed it to this one.
+    assert attach(after) == 200 and detach(after, "s9") == 404
+
+
+@pytest.mark.parametrize("text", [b"", b"{", b'{"out":7}', b"\xff\x00"])
+def test_a_torn_file_stops_neither_start_nor_call(operated, tmp_path, text):
+    (tmp_path / FILE).write_bytes(text)
+    around = operated()
+    assert around.logged("operators.unreadable")
+    assert detach(around) == 200 and "s0" in json.loads((tmp_path / FILE).read_bytes())["out"]
+
+
+def test_a_yes_is_said_only_when_it_is_written(operated, tmp_path):
+    around = operated()
+    around.until(lambda: not around.node.out.unwritten)
+    around.node.out.path = tmp_path / "gone" / FILE
+    assert detach(around) == 503
+    assert believed(around, "s0").condition is Condition.READY
+
+
+def test_a_file_that_another_process_holds_is_waited_for(tmp_path):
+    out = Out(str(tmp_path), lambda: 0.0, lambda *_, **__: None)
+    out.listed(True, [Entry("s0")])
+    with out._lock(), pytest.raises(Busy):
+        out.take_out("s0")
+    assert not out.kept.out
+    assert out.take_out("s0")
+
+
+def test_ids_without_end_are_forgotten_but_not_those_in_use(tmp_path):
+    out = Out(str(tmp_path), lambda: 0.0, lambda *_, **__: None)
+    out.listed(True, [Entry("first"), Entry("second")])
+    out.take_out("second")
+    for i in range(3 * MOST_KNOWN):
+        out.listed(False, [Entry(f"s{i}"), Entry(f"s{i}", state="left")])
+    assert len(out.known) <= MOST_KNOWN
+    assert out.take_out("first") and out.put_back("second") is not None
+    assert out.take_out("s0") is None
+
+
+# Sending clients away.
+
+
+def test_at_a_drain_clients_are_sent_away_and_afterwards_all_is_as_before(operated):
+    around = operated()
+    idle, kept = around.client(), around.client()
+    kept.sendall(around.request())
+    upstream = around.serve()
+    assert around.status(kept) == 200
+    assert around.call("PUT /_lameduck/on") == 200
+    assert around.status(around.ask(lead="GET /ready HTTP/1.1")) == 503
+    assert around.call("GET /_ready") == 200
+    # What still comes is served, on new and on kept connections, and told to close.
+    for client in (around.client(), kept):
+        client.sendall(around.request())
+        around.received(upstream)
+        around.reply(upstream)
+        head, _ = around.answer(client)
+        assert head.status_code == 200 and (b"connection", b"close") in head.headers
+    assert around.until(lambda: around.read(idle)) == b"end"
+    assert around.call("PUT /_lameduck/on") == 200 and around.call("PUT /_lameduck/off") == 200
+    assert around.call("PUT /_lameduck/off") == 200
+    assert around.status(around.ask(lead="GET /ready HTTP/1.1")) == 200
+    client = around.client()
+    client.sendall(around.request())
+    around.received(upstream)
+    around.reply(upstream)
+    head, _ = around.answer(client)
+    assert (b"connection", b"close") not in head.headers
+    assert [line["on"] for line in around.logged("lameduck")] == [True, False]
+
+
+def test_a_stop_within_a_drain_ends_the_process(operated):
+    around = operated()
+    around.node.loop.running = True
+    assert around.call("PUT /_lameduck/on") == 200
+    os.kill(os.getpid(), signal.SIGTERM)
+    around.until(lambda: not around.node.loop.running)
+
+
+# Replacing the process.
+
+
+def test_another_process_is_seen_while_it_lives(tmp_path):
+    text = f"""if True:
+        from starlingwheel.net.memory.beside import Beside
+        beside = Beside({str(tmp_path)!r})
+        print(beside.others(), flush=True)
+        input()
+    """
+    beside = Beside(str(tmp_path))
+    assert not beside.others()
+    command = [sys.executable, "-c", text]
+    process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    assert process.stdout.readline() == b"True\n" and beside.others()
+    process.kill()
+    process.communicate()
+    assert not beside.others()
+    beside.close()
+
+
+def test_two_processes_share_what_one_may_have(operated):
+    around = operated()
+    node, balancer = around.node, around.node.module.runner.balancer
+    alone = node.pool.most, node.ledger.share, node.ledger.most_requests
+
+    class Another:
+        def others(self):
+            return True
+
+    node.beside = Another()
+    around.until(lambda: balancer.terms.processes == 2)
+    shared = node.pool.most, node.ledger.share, node.ledger.most_requests
+    assert all(half < whole * 0.6 for half, whole in zip(shared, alone, strict=True))
+    node.beside = None
+    around.until(lambda: balancer.terms.processes == 1)
+    assert (node.pool.most, node.ledger.share, node.ledger.most_requests) == alone
+
+
+@pytest.mark.parametrize("value", ["x", "9999", "0"])
+def test_a_passed_socket_that_is_none_ends_the_start_with_one_line(tmp_path, value):
+    told = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    path = tmp_path / "config.json"
+    path.write_bytes(msgspec.json.encode(told))
+    environment = os.environ | {"EDGE_CONFIG": str(path), "EDGE_PASSED_SOCKET": value}
+    command = [sys.executable, "-m", "starlingwheel"]
+    done = subprocess.run(command, env=environment, capture_output=True, stdin=subprocess.DEVNULL)
+    assert done.returncode == 2 and done.stderr.count(b"\n") == 1 and b"EDGE_PASSED_SOCKET" in done.stderr
+
+
+class Upstreams:
+    """One upstream on threads of its own: counts how often it ran each trace."""
+
+    def __init__(self):
+        self.listener, self.ran = bound(backlog=128), {}
+        self.listener.settimeout(None)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        with sock, sock.makefile("rb") as lines:
+            while line := lines.readline():
+                if line.lower().startswith(b"x-trace-id:"):
+                    trace = line.split(b":")[1].strip()
+                if line == b"\r\n":
+                    self.ran[trace] = self.ran.get(trace, 0) + 1
+                    time.sleep(0.002)
+                    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + trace.ljust(16))
+
+
+def test_under_load_a_process_is_replaced_and_no_request_is_lost_or_run_twice(tmp_path):
+    """Clients with kept connections go on asking while a second process takes over the passed socket."""
+    upstream, passed, chance = Upstreams(), bound(backlog=256), random.Random(5)
+    place = address(upstream.listener)
+    servers = [{"id": f"s{i}", "addr": place, "state": "active"} for i in range(8)]
+    settings = SETTINGS | {"caps": SETTINGS["caps"] | {"mayDuplicate": False, "mostHandOffs": 1}}
+    processes, ended, lost, answered, deferred = [], threading.Event(), [], [], []
+
+    def start(number):
+        mgmt = bound()
+        path = tmp_path / f"config{number}.json"
+        told = {"listen": address(passed), "discovery": "127.0.0.1:1", "settings": settings}
+        told |= {"known": {"version": 7, "full": True, "servers": servers}, "mgmt": address(mgmt)}
+        path.write_bytes(msgspec.json.encode(told))
+        place = mgmt.getsockname()
+        mgmt.close()
+        environment = os.environ | {
+            "EDGE_CONFIG": str(path),
+            "EDGE_PASSED_SOCKET": str(passed.fileno()),
+            "TMPDIR": str(tmp_path),
+        }
+        command = [sys.executable, "-m", "starlingwheel"]
+        log = open(tmp_path / f"log{number}", "wb")  # noqa: SIM115
+        with log:
+            processes.append(
+                subprocess.Popen(command, env=environment, pass_fds=[passed.fileno()], stdout=log)
+            )
+        while True:
+            try:
+                with socket.create_connection(place) as caller:
+                    caller.sendall(b"GET /_ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                    if caller.recv(64).startswith(b"HTTP/1.1 200"):
+                        return processes[-1]
+            except OSError:
+                pass
+            time.sleep(0.02)
+
+    def client(name, pauses):
+        sock, count = None, 0
+        while not ended.is_set():
+            trace, count = f"{name}-{count}", count + 1
+            request = f"GET /look/1 HTTP/1.1\r\nHost: a\r\nX-Trace-Id: {trace}\r\nX-Qos: look\r\n"
+            sock = sock or socket.create_connection(passed.getsockname())
+            sock.sendall(f"{request}X-Expires-In-Ms: 1900\r\n\r\n".encode())
+            got = b""
+            while b"\r\n\r\n" not in got or (b" 200 " in got and trace.encode() not in got):
+                if not (data := sock.recv(4096)):
+                    lost.append(trace)
+                    break
+                got += data
+            else:
+                (answered if trace.encode() in got else deferred).append(trace)
+            if b"connection: close" in got.lower() or trace in lost:
+                sock.close()
+                sock = None
+            time.sleep(pauses.random() / 100)
+
+    try:
+        first = start(0)
+        clients = [
+            threading.Thread(target=client, args=(f"c{i}", random.Random(chance.random()))) for i in range(8)
+        ]
+        for one in clients:
+            one.start()
+        while len(answered) < 100:
+            time.sleep(0.01)
+        second = start(1)
+        first.send_signal(signal.SIGTERM)
+        assert first.wait(10) == 0
+        so_far = len(answered)
+        while len(answered) < so_far + 100:
+            time.sleep(0.01)
+        ended.set()
+        for one in clients:
+            one.join()
+        assert second.poll() is None
+        assert not lost and max(upstream.ran.values()) == 1  # some may be deferred on a busy machine
+        assert {trace.encode() for trace in answered} == set(upstream.ran)
+        counts = [json.loads(line) for line in (tmp_path / "log1").read_bytes().splitlines()]
+        assert [line["count"] for line in counts if line["event"] == "processes"][:1] == [2]
+    finally:
+        ended.set()
+        for process in processes:
+            process.kill()
+            process.wait()
+        upstream.listener.close()
+        passed.close()
