--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -184,63 +184,62 @@
 
 class Balancer:
     def __init__(self, terms: Terms, chance: random.Random, now: float) -> None:
-        self.terms, self.chance, self.now = terms, chance, now
+        self.chance, self.now = chance, now
         self.upstreams: dict[str, Upstream] = {}
-        self.stale_plan = True
-        self.near: list[Upstream] = []
-        self.far: list[Upstream] = []
-        due = [c.due_time for c in terms.categories]
-        self.shortest, self.longest = min(due), max(due)
-        self.renewal = 2 * STALE * self.shortest
-        self.best_payoff = max(c.payoff for c in terms.categories)
-        self.mean_payoff = sum(c.payoff for c in terms.categories) / len(terms.categories)
+        self.near, self.far = list[Upstream](), list[Upstream]()
         self.latency = Histogram(0.25, 1.4, 16, 2000)
         self.beyond = Histogram(0.25, 1.4, 12, 400, now)
-        self.typical = {c: Histogram(c.due_time / 64, 1.5, 14, 400) for c in terms.categories}
-        self.mean_size, self.patience = 1.0, dict.fromkeys(terms.categories, 0.0)
+        self.typical: dict[str, Histogram] = {}
+        self.mean_size = 1.0
         self.reported, self.reports, self.reported_at = 0.0, 0.0, now
         self.held, self.busy, self.at_once = 0.0, 0.0, 1.0
         self.told: dict[tuple[int, int], tuple[float, int]] = {}
-        self.counted: dict[int, int] = {}
-        self.heard_at = -inf
+        self.counted, self.heard_at = dict[int, int](), -inf
         self.flow, self.elsewhere = Flow(now), 0.0
-        self.untold: dict[Upstream, None] = {}
-        self.unwarned: dict[Upstream, None] = {}
-        self.lost: dict[Upstream, int] = {}
-        self.trials = 1.0
+        self.untold, self.unwarned = dict[Upstream, None](), dict[Upstream, None]()
+        self.lost, self.trials = dict[Upstream, int](), 1.0
+        self.tagged, self.suspects = dict[int, Upstream](), dict[Upstream, None]()
+        self.may_tell, self.told_at = AT_ONCE, now
+        self.lately, self.noted_at = 0.0, now
+        self.out, self.bad, self.outcomes = 0, 0.0, 1.0
+        self.retune(terms)
+
+    def retune(self, terms: Terms) -> None:
+        """All that follows from the terms; what was learned stays, by the names of the categories."""
+        self.terms, self.stale_plan = terms, True
+        due = [c.due_time for c in terms.categories]
+        self.shortest, self.longest = min(due), max(due)
+        self.renewal = 2 * STALE * self.shortest
+        self.best_payoff = max(c.payoff for c in terms.categories)
+        self.mean_payoff = sum(c.payoff for c in terms.categories) / len(terms.categories)
+        names, self.patience = {c.name for c in terms.categories}, dict[str, float]()
+        self.typical = {name: times for name, times in self.typical.items() if name in names}
         self.subset = SUBSET if terms.keeping_price and terms.streams > 1 else 0
         self.width, self.salt = WIDE * self.subset, terms.number * 2654435761 & 0xFFFFFFFF
         # Where only the list tells of lines, all see them late and alike: they are longer, and vary more.
         self.fit, self.line = (x * (LATE if terms.sizes_move else 1) for x in (FIT, LINE))
-        self.tagged: dict[int, Upstream] = {}
-        self.suspects: dict[Upstream, None] = {}
-        self.may_tell, self.told_at = AT_ONCE, now
-        self.lately, self.noted_at = 0.0, now
-        self.out, self.bad, self.outcomes = 0, 0.0, 1.0
         self.tells, self.asks = self._cheapest()
         self.trial = TRIALS / max(1.0, terms.sidecars / 16) if self.tells else TRIALS  # all see how one ends
 
-    def retune(self, terms: Terms) -> None:
-        self.terms = terms
-
     # The ordinary path.
 
     def work(self, wi: WorkItem) -> Steps:
         due = wi.category.due_time + wi.category.stretch * wi.cost
         stake = (wi.category.payoff / self.best_payoff) ** LESS
-        first = self.patience[wi.category] = max(self.patience[wi.category], wi.patience * (not wi.repeat))
+        name = wi.category.name
+        first = self.patience[name] = max(self.patience.get(name, 0.0), wi.patience * (not wi.repeat))
         if wi.repeat and wi.patience < first * GIVE_UP:
             # Guards against work for a client whose earlier tries have used up the due time.
             due -= wi.category.expiry - wi.patience
         if due <= 0:
             due, stake = wi.patience, stake * wi.category.late_payoff
-        # Guards against late answers, worth a part, taking the room of those that can still come in time.
-        until = wi.arrived + min(due * GIVE_UP, wi.patience)
         handed: list[HandOff] = []
         copies, delays = 0, 1
         wanted = True
         questions = self._questions(wi.category)
         while True:
+            # Guards against late answers, worth a part, taking the room of those that can still come in time.
+            until = wi.arrived + min(due * GIVE_UP, wi.patience)
             if wanted:
                 if questions and not handed:
                     upstream = yield from self._ask(wi, due, stake, questions, until)
@@ -319,7 +318,7 @@
     # Rule 2.
 
     def _may_send(self, wi: WorkItem, handed: list[HandOff]) -> bool:
-        if len(handed) >= self.terms.most_hand_offs:
+        if len(handed) >= wi.most_hand_offs:
             return False
         risky = next((h for h in handed if h.may_have_run), None)
         if risky is None or wi.category.effect is Effect.RERUNNABLE:
@@ -576,8 +575,9 @@
 
     def _typical(self, category: Category) -> float:
         # Guards against a quiet sidecar knowing nothing but what it saw in the last few due times.
-        times = self.typical[category].aged(self.now, self.renewal, ENOUGH)
-        return times.mean(prior=category.due_time / 8, doubt=4)
+        if (times := self.typical.get(category.name)) is None:
+            times = self.typical[category.name] = Histogram(category.due_time / 64, 1.5, 14, 400)
+        return times.aged(self.now, self.renewal, ENOUGH).mean(prior=category.due_time / 8, doubt=4)
 
     def _small(self, u: Upstream) -> float:
         """How many of it make one of mean size."""
@@ -763,7 +763,7 @@
         if u.pace is None:
             u.pace = Histogram(0.25, 2.0, 7, 24, self.now)
         u.pace.add(each / usual)
-        self.typical[cat].add(each)
+        self.typical[cat.name].add(each)
         self.latency.add(took / self._typical(cat))
 
     # Cold upstreams.
--- a/starlingwheel/decisions/runner.py
+++ b/starlingwheel/decisions/runner.py
@@ -91,6 +91,7 @@
         self._arm()
 
     def take(self, wi: WorkItem) -> None:
+        wi.most_hand_offs = wi.most_hand_offs or self.balancer.terms.most_hand_offs
         task = self._tasks[wi] = Task(self.balancer.work(wi), wi)
         self._due.append((task, None))
         self._run()
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -129,6 +129,7 @@
     customer: Customer | None = None
     repeat: bool = False
     cost: float = 0.0
+    most_hand_offs: int = 0  # 0: as the terms say that are in force when it is taken
 
 
 @dataclass(slots=True, eq=False)
--- a/starlingwheel/net/lifecycle/config.py
+++ b/starlingwheel/net/lifecycle/config.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from math import isfinite
 from typing import Any
 
 import msgspec
@@ -33,6 +34,7 @@
     peers_all: str = ""
     known: Word | None = None
     mgmt: str = ""
+    named: frozenset[str] = frozenset()  # the keys that the file has
 
 
 class Unusable(Exception):
@@ -45,8 +47,10 @@
         raise Unusable("EDGE_CONFIG names no file")
     try:
         with open(path, "rb") as file:
-            config = msgspec.json.decode(file.read(), type=Config)
-        config = msgspec.structs.replace(config, mgmt=environment.get("EDGE_MGMT") or config.mgmt)
+            given = msgspec.json.decode(file.read())
+        config = msgspec.convert(given, Config)
+        mgmt = environment.get("EDGE_MGMT") or config.mgmt
+        config = msgspec.structs.replace(config, mgmt=mgmt, named=frozenset(given))
         for field in ("listen", "discovery", "mgmt")[: 3 if config.mgmt else 2]:
             split(getattr(config, field))
     except (OSError, msgspec.DecodeError, ValueError) as error:
@@ -61,3 +65,53 @@
     # A sidecar whose settings don't say how the list comes asks for it.
     asks = config.settings.get("discovery", "ask") == "ask"
     return config, msgspec.structs.replace(terms, must_subscribe=asks)
+
+
+START_ONLY = {"seed", "known"}  # for the next start: new each time, and of no use to one that has its list
+NUMBERS = ("dueTime", "expiry")
+
+
+def renewed(environment: Mapping[str, str], before: Config) -> tuple[Config, Terms]:
+    """The configuration as the file has it now, if that can take the place of the one in force.
+
+    Guards against a file that is half written or half edited: what was named before is named again, and no
+    absence takes a meaning.
+    """
+    config, terms = configured(environment)
+    missing = [*sorted(before.named - config.named - START_ONLY)]
+    missing += [f"settings.{key}" for key in _missing(before.settings, config.settings)]
+    if missing:
+        raise Unusable(f"{environment['EDGE_CONFIG']}: missing: {', '.join(missing)}")
+    for key, value in _numbers(config.settings):
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, int | float)
+            or not (isfinite(value) and value > 0)
+        ):
+            raise Unusable(f"{environment['EDGE_CONFIG']}: settings.{key}: {value!r} is no positive number")
+    return config, terms
+
+
+def _missing(before: Any, now: Any) -> Iterator[str]:
+    for key, value in before.items():
+        given = now.get(key)
+        if given is None and value is not None:
+            yield key
+        elif isinstance(value, dict):
+            yield from (
+                f"{key}.{inner}" for inner in _missing(value, given if isinstance(given, dict) else {})
+            )
+        elif value and isinstance(value, list) and all(isinstance(one, dict) for one in value):
+            # What each of a list had, such as a category's deadline, each has.
+            common = set.intersection(*(set(one) for one in value))
+            for place, one in enumerate(given if isinstance(given, list) else []):
+                for inner in sorted(common - {k for k, v in one.items() if v is not None}):
+                    yield f"{key}[{place}].{inner}"
+
+
+def _numbers(settings: dict[str, Any]) -> Iterator[tuple[str, Any]]:
+    for place, category in enumerate(settings.get("categories", [])):
+        yield from ((f"categories[{place}].{key}", category.get(key)) for key in NUMBERS)
+    caps = settings.get("caps") or {}
+    if "mostHandOffs" in caps:
+        yield "caps.mostHandOffs", caps["mostHandOffs"]
--- a/starlingwheel/net/lifecycle/signals.py
+++ b/starlingwheel/net/lifecycle/signals.py
@@ -11,14 +11,15 @@
 from ..actor import Actor, Coroutine
 from ..loop import READ
 from ..mail import STOP, Relocated
-from .config import Unusable, configured
+from .config import START_ONLY, Unusable, renewed
 
 if TYPE_CHECKING:
     from .start import Node
 
 TOLD = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-TAKEN_OVER = {"discovery"}
-START_ONLY = {"seed", "known"}  # for the next start: new each time, and of no use to one that has its list
+TAKEN_OVER = {"discovery", "settings", "named"}
+# Terms that sockets, peers and standing chores were made from at the start.
+STANDING = ("must_subscribe", "streams", "number", "sidecars", "peers_allowed")
 
 
 class Signals(Actor):
@@ -51,7 +52,7 @@
     def _renew(self) -> None:
         """Read the configuration again, whole. One that can't be used leaves the one before in force."""
         try:
-            config, _ = configured(self.node.environment)
+            config, terms = renewed(self.node.environment, self.node.config)
         except Unusable as unusable:
             self.node.log("config.unusable", error=str(unusable))
             return
@@ -62,8 +63,14 @@
         taken = changed & TAKEN_OVER
         # What is in force stays to be compared with: a change that waits for a restart is told each time.
         self.node.config = msgspec.structs.replace(before, **{name: getattr(config, name) for name in taken})
-        self.node.log(
-            "config.read", taken_over=sorted(taken), need_restart=sorted(changed - TAKEN_OVER - START_ONLY)
-        )
+        need_restart = changed - TAKEN_OVER - START_ONLY
+        if "settings" in taken:
+            standing = {name: getattr(self.node.terms, name) for name in STANDING}
+            need_restart |= {
+                f"settings: {name}" for name in STANDING if getattr(terms, name) != standing[name]
+            }
+            self.node.retune(msgspec.structs.replace(terms, **standing))
+        told = sorted(taken - {"named"})
+        self.node.log("config.read", taken_over=told, need_restart=sorted(need_restart))
         if "discovery" in taken:
             self.node.list.post(Relocated(config.discovery))
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ...decisions.terms import News, Terms
+from ...decisions.terms import Category, Effect, News, Terms
 from ..actor import Actor
 from ..loop import Loop
 from ..mail import DRAIN, Listed, Retuned
@@ -34,6 +34,7 @@
 from .stop import Drainer, Pulse, Stopper
 
 COLLECT = 10_000  # objects more than were freed, after which cycles are looked for
+FORMER = 3.0  # seconds for which clients may still use a category that was dropped
 BUFFERS = 1 / 3  # part of the memory limit that buffers may take
 
 
@@ -41,12 +42,11 @@
     """One sidecar: what its actors share."""
 
     def __init__(self, config: Config, terms: Terms, environment: Mapping[str, str], log_fd: int = 1) -> None:
-        self.config, self.terms, self.environment = config, terms, environment
-        self.categories = {c.name: c for c in terms.categories}
-        self.customers = {c.name: c for c in terms.customers}
-        self.shortest = min(c.due_time for c in terms.categories)
-        self.longest = max(c.expiry for c in terms.categories)
+        self.config, self.environment = config, environment
         self.loop = Loop(self.defect)
+        self.former: list[tuple[float, Category]] = []  # categories as they were, and until when they count
+        self.processes = 1
+        self._agree(terms)
         self.log = Log(self.loop.now, log_fd)
         self.loop.each_turn = self.log.flush
         self.passed = environment.get("EDGE_PASSED_SOCKET", "")
@@ -93,11 +93,36 @@
         if processes != self.processes:
             self.log("processes", count=processes)
             self.share(processes)
-            self.retune(msgspec.structs.replace(self.terms, processes=processes))
+            self.retune(self.terms)
 
     def retune(self, terms: Terms) -> None:
-        self.terms = terms
-        self.module.post(Retuned(terms))
+        """New terms, whole, for all that comes from now on."""
+        now = self.loop.now()
+        self.former = [(until, c) for until, c in self.former if until > now]
+        # Guards against losing requests of clients that have not heard of the new settings yet.
+        self.former += [(now + FORMER, c) for c in self.terms.categories]
+        self._agree(terms)
+        self.module.post(Retuned(self.terms))
+
+    def _agree(self, terms: Terms) -> None:
+        """The one place where figures are derived from the terms."""
+        self.terms = msgspec.structs.replace(terms, processes=self.processes)
+        self.categories = {c.name: c for c in terms.categories}
+        self.customers = {c.name: c for c in terms.customers}
+        self.shortest = min(c.due_time for c in terms.categories)
+        self.longest = max(c.expiry for c in [*terms.categories, *(c for _, c in self.former)])
+
+    def category(self, name: str, effect: Effect) -> Category | None:
+        """The category of that name whose effect a request's form tells; failing that, the one in force.
+
+        A dropped one, or one that now has another effect, is served by its old rules for a while.
+        """
+        named = self.categories.get(name)
+        if named is not None and named.effect is effect or not self.former:
+            return named
+        now = self.loop.now()
+        former = (c for until, c in self.former if until > now and c.name == name)
+        return next((c for c in former if c.effect is effect), named)
 
     def _passed(self) -> socket.socket:
         """The clients' listening socket, where the platform holds it."""
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -30,6 +30,13 @@
 METHODS = {Effect.RERUNNABLE: b"GET", Effect.TICKETED: b"POST", Effect.EXCLUSIVE: b"POST"}
 
 
+def effect_told(method: bytes, headers: dict[bytes, bytes]) -> Effect:
+    """What the form of a request says of its effect."""
+    if method == b"GET":
+        return Effect.RERUNNABLE
+    return Effect.TICKETED if headers.get(b"idempotency-key") else Effect.EXCLUSIVE
+
+
 class Unfit(Exception):
     """A request that is answered without being taken up."""
 
@@ -235,7 +242,7 @@
         if not trace:
             raise Unfit(400, "x-trace-id is missing")
         named = headers.get(b"x-qos", b"").decode("latin-1")
-        category = self.node.categories.get(named)
+        category = self.node.category(named, effect_told(request.method, headers))
         if category is None:
             raise Unfit(404, "unknown category")
         if request.target.lstrip(b"/").partition(b"?")[0].partition(b"/")[0] != named.encode("latin-1"):
