--- a/starlingwheel/net/lifecycle/config.py
+++ b/starlingwheel/net/lifecycle/config.py
@@ -42,6 +42,11 @@
 
 
 def configured(environment: Mapping[str, str]) -> tuple[Config, Terms]:
+    config = _read(environment)
+    return config, _terms(config, environment["EDGE_CONFIG"])
+
+
+def _read(environment: Mapping[str, str]) -> Config:
     path = environment.get("EDGE_CONFIG", "")
     if not path:
         raise Unusable("EDGE_CONFIG names no file")
@@ -55,6 +60,10 @@
             split(getattr(config, field))
     except (OSError, msgspec.DecodeError, ValueError) as error:
         raise Unusable(f"{path}: {error}") from error
+    return config
+
+
+def _terms(config: Config, path: str) -> Terms:
     try:
         settings.check(config.settings)
         terms = settings.terms(config.settings)
@@ -64,7 +73,7 @@
         raise Unusable(f"{path}: settings: {error}") from error
     # A sidecar whose settings don't say how the list comes asks for it.
     asks = config.settings.get("discovery", "ask") == "ask"
-    return config, msgspec.structs.replace(terms, must_subscribe=asks)
+    return msgspec.structs.replace(terms, must_subscribe=asks)
 
 
 START_ONLY = {"seed", "known"}  # for the next start: new each time, and of no use to one that has its list
@@ -77,19 +86,19 @@
     Guards against a file that is half written or half edited: what was named before is named again, and no
     absence takes a meaning.
     """
-    config, terms = configured(environment)
+    config, path = _read(environment), environment["EDGE_CONFIG"]
     missing = [*sorted(before.named - config.named - START_ONLY)]
     missing += [f"settings.{key}" for key in _missing(before.settings, config.settings)]
     if missing:
-        raise Unusable(f"{environment['EDGE_CONFIG']}: missing: {', '.join(missing)}")
+        raise Unusable(f"{path}: missing: {', '.join(missing)}")
     for key, value in _numbers(config.settings):
         if (
             isinstance(value, bool)
             or not isinstance(value, int | float)
             or not (isfinite(value) and value > 0)
         ):
-            raise Unusable(f"{environment['EDGE_CONFIG']}: settings.{key}: {value!r} is no positive number")
-    return config, terms
+            raise Unusable(f"{path}: settings.{key}: {value!r} is no positive number")
+    return config, _terms(config, path)
 
 
 def _missing(before: Any, now: Any) -> Iterator[str]:
@@ -105,13 +114,15 @@
             # What each of a list had, such as a category's deadline, each has.
             common = set.intersection(*(set(one) for one in value))
             for place, one in enumerate(given if isinstance(given, list) else []):
-                for inner in sorted(common - {k for k, v in one.items() if v is not None}):
+                has = {k for k, v in one.items() if v is not None} if isinstance(one, dict) else set()
+                for inner in sorted(common - has):
                     yield f"{key}[{place}].{inner}"
 
 
 def _numbers(settings: dict[str, Any]) -> Iterator[tuple[str, Any]]:
     for place, category in enumerate(settings.get("categories", [])):
-        yield from ((f"categories[{place}].{key}", category.get(key)) for key in NUMBERS)
+        if isinstance(category, dict):
+            yield from ((f"categories[{place}].{key}", category.get(key)) for key in NUMBERS)
     caps = settings.get("caps") or {}
     if "mostHandOffs" in caps:
         yield "caps.mostHandOffs", caps["mostHandOffs"]
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,149 @@
+"""Stories of new settings at SIGHUP: whole or not at all, and open work keeps the old ones."""
+
+import copy
+
+import msgspec
+import pytest
+from conftest import BUY, LOOK, SETTINGS, categories
+
+from starlingwheel.decisions.terms import Category, Effect, Fate
+
+
+def changed(path, value):
+    """The settings with the value at a path replaced, or gone (`...`)."""
+    settings = copy.deepcopy(SETTINGS)
+    *way, last = path
+    table = settings
+    for step in way:
+        table = table[step]
+    if value is ...:
+        del table[last]
+    else:
+        table[last] = value
+    return settings
+
+
+WRONG = [
+    ("settings.categories[1].expiry", ("categories", 1, "expiry"), ...),
+    ("settings.categories[0].expiry", ("categories", 0, "expiry"), None),
+    ("expiry", ("categories", 0, "expiry"), 0),
+    ("expiry", ("categories", 0, "expiry"), -1),
+    ("expiry", ("categories", 0, "expiry"), True),
+    ("expiry", ("categories", 0, "expiry"), "1000000"),
+    ("dueTime", ("categories", 2, "dueTime"), 0),
+    ("settings.categories[0].name", ("categories", 0, "name"), ...),
+    ("mostHandOffs", ("caps", "mostHandOffs"), 0),
+    ("mostHandOffs", ("caps", "mostHandOffs"), True),
+    ("mostHandOffs", ("caps", "mostHandOffs"), None),
+    ("mostHandOffs", ("caps", "mostHandOffs"), ...),
+    ("mostHandOffs", ("caps", "mostHandOffs"), "3"),
+    ("settings.rules", ("rules",), ...),
+    ("settings.caps.cancel", ("caps", "cancel"), ...),
+    ("categories", ("categories",), []),
+]
+
+
+@pytest.mark.parametrize(("named", "path", "value"), WRONG)
+def test_nothing_is_taken_from_settings_that_are_wrong(around, named, path, value):
+    before = around.node.config, around.node.terms, around.node.list.address
+    around.reconfigure(settings=changed(path, value), discovery="127.0.0.1:9")
+    [line] = around.logged("config.unusable")
+    assert named in line["error"] and not around.logged("config.read")
+    assert (around.node.config, around.node.terms, around.node.list.address) == before
+    assert around.node.module.runner.balancer.terms is before[1]
+
+
+@pytest.mark.parametrize("text", [b" ", b"{", b"{}", b"[]", b'{"listen":"127.0.0.1:0"}'])
+def test_nothing_is_taken_from_a_file_that_is_not_whole(around, text):
+    before = around.node.config, around.node.terms
+    around.reconfigure(text)
+    assert around.logged("config.unusable") and (around.node.config, around.node.terms) == before
+
+
+@pytest.mark.parametrize("key", ["settings", "limits", "peers", "name"])
+def test_a_key_that_was_there_is_missed(make_surroundings, key):
+    around = make_surroundings(name="n0")
+    told = {k: v for k, v in around.told.items() if k != key}
+    around.reconfigure(msgspec.json.encode(told))
+    [line] = around.logged("config.unusable")
+    assert key in line["error"]
+
+
+def test_a_new_category_is_served_by_its_rules_and_a_dropped_one_still_by_its_own(around):
+    times = {"dueTime": 1000000, "expiry": 2000000}
+    # `look` is dropped, `buy` may be repeated now, `gaze` is new.
+    now = [
+        {"name": "gaze", "effect": "free"} | times,
+        {"name": "buy", "effect": "guarded", "window": 2000000} | times,
+        {"name": "move", "effect": "guarded", "window": 2000000} | times,
+    ]
+    around.reconfigure(settings=SETTINGS | {"categories": now})
+    [line] = around.logged("config.read")
+    assert line["taken_over"] == ["settings"] and line["need_restart"] == []
+    asked = [
+        around.request("look", x_trace_id="a"),
+        around.request("buy", b"one", x_trace_id="b"),
+        around.request("buy", b"one", x_trace_id="c", idempotency_key="k"),
+        around.request("look", x_trace_id="d", x_qos="gaze", lead="GET /gaze/1 HTTP/1.1"),
+    ]
+    upstream = None
+    for text in asked:
+        client = around.client()
+        client.sendall(text)
+        upstream = upstream or around.accept()
+        around.received(upstream)
+        around.reply(upstream)
+        assert around.status(client) == 200
+    around.node.former = [(0.0, c) for _, c in around.node.former]  # three seconds later
+    assert around.status(around.ask("look", x_trace_id="e")) == 404
+    assert around.status(around.ask("buy", b"one", x_trace_id="f")) == 400
+
+
+def test_settings_are_replaced_several_times_with_work_open(around):
+    client = around.ask("look")
+    upstream = around.accept()
+    around.received(upstream)
+    for due_time in (500000, 600000, 700000):
+        only = [c for c in categories(due_time) if c["name"] == "buy"]
+        around.reconfigure(settings=SETTINGS | {"categories": only})
+        assert around.node.shortest == due_time / 1e6
+        around.until(lambda: around.node.module.runner.balancer.shortest == due_time / 1e6)  # noqa: B023
+    # Its category has gone twice over; it is answered all the same.
+    around.reply(upstream)
+    assert around.status(client) == 200 and not around.logged("module.defect")
+
+
+def test_what_sockets_were_made_from_waits_for_a_restart(around):
+    around.reconfigure(settings=SETTINGS | {"replicasOfMe": 3, "slotNo": 1})
+    [line] = around.logged("config.read")
+    assert line["need_restart"] == ["settings: number", "settings: sidecars"]
+    assert (around.node.terms.number, around.node.terms.sidecars) == (0, 2)
+
+
+def test_open_work_keeps_the_attempts_it_was_taken_with(host):
+    """Two more hand-offs were allowed when it was taken; what comes later gets one."""
+    terms = host.runner.balancer.terms
+    before = host.take(LOOK)
+    host.runner.retune(msgspec.structs.replace(terms, most_hand_offs=1))
+    after = host.take(LOOK)
+    for wi in (before, after):
+        host.end(host.of(wi)[-1], Fate.TURNED_DOWN)
+    assert len(host.of(before)) == 2 and len(host.of(after)) == 1
+    assert host.answers(after) == ["deferred"]
+
+
+def test_what_was_learned_stays_and_a_new_category_begins_afresh(host):
+    host.serve(40, took=0.2)
+    balancer = host.runner.balancer
+    learned = balancer._typical(LOOK)
+    # The same by its name, with another effect and deadline, beside a new one.
+    look = Category("look", Effect.TICKETED, due_time=1.0, payoff=1.0, expiry=2.0)
+    gaze = Category("gaze", Effect.RERUNNABLE, due_time=0.5, payoff=2.0, expiry=1.0)
+    host.runner.retune(msgspec.structs.replace(balancer.terms, categories=[look, gaze]))
+    assert balancer._typical(look) == pytest.approx(learned)
+    assert balancer._typical(gaze) == gaze.due_time / 8
+    assert balancer.shortest == 0.5 and balancer.best_payoff == 2.0
+    assert set(balancer.typical) == {"look", "gaze"}
+    host.serve(5, category=gaze)
+    host.serve(1, category=BUY)  # dropped; still open somewhere
+    assert all(word == "finished" for word, _, _ in host.ended)
