--- a/starlingwheel/decisions/runner.py
+++ b/starlingwheel/decisions/runner.py
@@ -96,6 +96,12 @@
         self._due.append((task, None))
         self._run()
 
+    def whole(self, wi: WorkItem) -> None:
+        """Its `arrived` has been set: it was taken while it was still coming."""
+        if task := self._tasks.get(wi):
+            self._due.append((task, None))
+            self._run()
+
     def outcome(self, outcome: Outcome) -> None:
         ho = outcome.ho
         ho.pending = False
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -124,7 +124,7 @@
 @dataclass(slots=True, eq=False)
 class WorkItem:
     category: Category
-    arrived: float
+    arrived: float  # infinite while it is still coming
     patience: float
     customer: Customer | None = None
     repeat: bool = False
--- a/starlingwheel/net/mail.py
+++ b/starlingwheel/net/mail.py
@@ -23,6 +23,13 @@
     job: Job
 
 
+@dataclass(slots=True, eq=False)
+class Whole:
+    """To the module: the last byte of a work item has come that was taken before."""
+
+    job: Job
+
+
 @dataclass(slots=True, eq=False)
 class Ended:
     """To the module: an errand has ended."""
--- a/starlingwheel/net/memory/buffers.py
+++ b/starlingwheel/net/memory/buffers.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 SIZE = 8192
-LONGEST_BODY = 65536  # of a request
-ANSWER = 1 / 16  # part of all buffers that one answer may take: upstreams send longer ones than they are sent
+KEPT = 65536  # bytes of an answer up to which it is kept until it is whole
+LONGEST_BODY = KEPT  # of a request that can't be passed on while it comes
+LARGE = 1 / 16  # part of all buffers that one body may take
 
 
 class Exhausted(Exception):
@@ -22,7 +23,7 @@
     def limit(self, most: int) -> None:
         """So many buffers may be made from now on."""
         self.most = most
-        self.longest_answer = max(LONGEST_BODY, int(most * ANSWER) * SIZE)
+        self.large = max(KEPT, int(most * LARGE) * SIZE)
 
     def take(self) -> bytearray:
         if self.free:
@@ -42,6 +43,15 @@
     def in_use(self) -> int:
         return self.made - len(self.free)
 
+    @property
+    def left(self) -> int:
+        return self.most - self.in_use
+
+    @property
+    def kept(self) -> int:
+        """Bytes of a request up to which it is kept until it is whole: less where others need the room."""
+        return self.large if self.left > self.most / 2 else KEPT
+
 
 class Body:
     """The body of one message. Whoever has it last gives its buffers back by `release`."""
--- a/starlingwheel/net/memory/work.py
+++ b/starlingwheel/net/memory/work.py
@@ -7,6 +7,7 @@
 
 from ...decisions.terms import Effect, HandOff, WorkItem
 from .buffers import Body
+from .flow import Flow
 
 if TYPE_CHECKING:
     from ..actor import Actor
@@ -23,11 +24,16 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: Body
+    body: Body | Flow
     trace: bytes
     owed: bool = True
     errands: dict[HandOff, Errand] = field(default_factory=dict)
 
+    @property
+    def coming(self) -> bool:
+        """Its last byte has not come yet."""
+        return isinstance(self.body, Flow) and not self.body.ended
+
 
 @dataclass(slots=True, eq=False)
 class Errand:
@@ -42,6 +48,17 @@
     connection: Actor | None = None  # the one that the carrier has given it to
     written: bool = False
 
+    @property
+    def flow(self) -> Flow | None:
+        """Its body, if that is passed on while it comes."""
+        return self.job.body if self.job is not None and isinstance(self.job.body, Flow) else None
+
+    def count_from(self, now: float) -> None:
+        """Its last byte has been written: what is waited for from now on is its answer."""
+        self.sent = self.ho.sent = now
+        # The decisions give it up in time; this guards against none where they may not cancel.
+        self.until = min(self.until, now + self.job.wi.patience)
+
     @property
     def once(self) -> bool:
         """What it carries can't be sent again if it may have run."""
@@ -50,7 +67,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Answer:
-    """What an upstream made for a work item; whole."""
+    """What an upstream made for a work item; whole, or passed on while it comes."""
 
-    body: Body
+    body: Body | Flow
     kind: bytes
--- a/starlingwheel/net/module.py
+++ b/starlingwheel/net/module.py
@@ -11,7 +11,7 @@
 from ..decisions.runner import Runner
 from ..decisions.terms import Fate, HandOff, News, Outcome, WorkItem
 from .actor import Actor, Coroutine
-from .mail import SUBSCRIBE, Carry, Drop, Ended, Final, Heard, Left, Listed, Moved, Retuned, Taken
+from .mail import SUBSCRIBE, Carry, Drop, Ended, Final, Heard, Left, Listed, Moved, Retuned, Taken, Whole
 from .memory.work import Errand, Job
 from .wire.upstream import Upstream
 
@@ -58,6 +58,10 @@
             case Taken(job):
                 self.jobs[job.wi] = job
                 self.runner.take(job.wi)
+            case Whole(job):
+                # Its time counts from now on.
+                job.wi.arrived = self.runner.now
+                self.runner.whole(job.wi)
             case Ended(errand, fate, report, answer):
                 self._ended(errand, fate, report, answer)
             case Left(job):
@@ -124,7 +128,11 @@
     def send(self, ho: HandOff, limit: float) -> None:
         job = self.jobs[ho.wi]
         carrier = self.upstreams.get(ho.upstream.address)
-        errand = job.errands[ho] = Errand(ho.upstream, carrier, ho.sent, ho.sent + limit, ho, job)
+        until = ho.sent + limit
+        if job.coming:
+            # Guards against taking the time that its client needs to send it for its upstream's.
+            ho.sent = inf
+        errand = job.errands[ho] = Errand(ho.upstream, carrier, ho.sent, until, ho, job)
         self._carry(errand)
 
     def _carry(self, errand: Errand) -> None:
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import errno
+import re
 import socket
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -11,8 +13,9 @@
 from ...decisions.terms import Effect, WorkItem
 from ..actor import Actor, Coroutine
 from ..loop import HANGUP, READ, WRITE, Ready
-from ..mail import CLOSE, STOP, Final, Left, Stop, Taken
-from ..memory.buffers import LONGEST_BODY, Body, Exhausted
+from ..mail import CLOSE, STOP, Final, Left, Stop, Taken, Whole
+from ..memory.buffers import KEPT, LONGEST_BODY, SIZE, Body, Exhausted
+from ..memory.flow import LONGEST, Flow
 from ..memory.work import Job
 from .http import Lost, Stream
 
@@ -23,10 +26,13 @@
 AT_ONCE = 64  # connections accepted in one turn
 QUIET = 2.0  # seconds after which a connection with no request open may be closed, as the protocol says
 PATIENT = 1.1  # times that, after which it is
-WHOLE = 1.25  # times that, from connecting, by which the first request is whole
+WHOLE = 1.35  # times that, from connecting or its first byte, by which a request is whole, but for its body
+SLOWEST = 48_000  # bytes of a body a second by which that takes longer
+STALL = 4.0  # seconds after which a client that takes nothing of its answer is given up
 PROMPT = 1 / 40  # times that, within which a usual client that has connected asks
-READ_AWAY = 4 * LONGEST_BODY  # bytes read from a client that sends on after its answer, at most
+READ_AWAY = 4 * KEPT  # bytes read from a client that sends on after its answer, at most
 LONGEST_NUMBER = 15  # digits
+ABSOLUTE = re.compile(rb"^https?://[^/?]*", re.IGNORECASE)  # what a target may begin with (RFC 9112, 3.2.2)
 METHODS = {Effect.RERUNNABLE: b"GET", Effect.TICKETED: b"POST", Effect.EXCLUSIVE: b"POST"}
 
 
@@ -103,7 +109,10 @@
         self.served = 0
         self.opened = self.quiet_since = node.loop.now()
         self.begun: float | None = None  # when the first byte of the request in hand was read
+        self.heard = self.opened  # when the last byte was read
+        self.received, self.paused = 0, 0.0  # bytes of the body in hand; seconds for which it was not read
         self.body = Body(node.pool)
+        self.flow: Flow | None = None  # what takes the place of the body if that is too long to keep
         self.job: Job | None = None
         self.closing = ""  # why it ends once it is idle
         node.ledger.clients[self] = None
@@ -132,7 +141,7 @@
                 status = 200 if self.node.ready else 503
             else:
                 job = self._take(request)
-                final = yield from self._in_hand(job)
+                final = yield from self._in_hand(job, self.flow)
                 status = final.status
         except Unfit as unfit:
             status = unfit.status
@@ -142,6 +151,9 @@
             self.node.log("request.unfit", status=status, reason="no-buffers")
         finally:
             self.body.release()
+            if self.flow is not None:
+                self.flow.break_off()
+                self.flow = None
             self.node.ledger.unheard.pop(self, None)
         # Guards against one that asks again at full speed what is turned away each time.
         yield from self._write(status, final, last=final is None and status != 200)
@@ -151,7 +163,9 @@
 
     def _read(self) -> Coroutine[h11.Request | None]:
         """The next request, its body in `self.body`; None when the connection ends between requests."""
-        request = None
+        request, length = None, None
+        self.received, self.paused = 0, 0.0
+        self.stream.at_once = SIZE
         self.begun = self.loop.now() if self.stream.http.trailing_data[0] else None
         self.stream.want(READ)
         if self.begun is None and self.served:
@@ -162,11 +176,15 @@
             except Lost as lost:
                 raise Unfit(400, str(lost)) from lost
             if isinstance(event, h11.Request):
-                request = event
-                self._framed(request)
+                request, length = event, self._framed(event)
+                self.stream.at_once = len(self.node.pool.scratch)
             elif isinstance(event, h11.Data):
-                if self.body.length + len(event.data) > LONGEST_BODY:
-                    raise Unfit(413, "body too long")
+                self._count(event.data)
+                if self.received > self._kept():
+                    self.flow = Flow(self.node.pool, self, length, self.body)
+                    self.body = Body(self.node.pool)
+                    self.flow.add(event.data)
+                    return request
                 self.body.add(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return request
@@ -206,8 +224,10 @@
                 raise
             if count is None:
                 continue
+            if count:
+                self.heard = self.loop.now()
             if self.begun is None and count:
-                self.begun = self.loop.now()
+                self.begun = self.heard
                 self.node.ledger.idle_clients.pop(self, None)
             if count == 0 and self.begun is not None:
                 self.reason = "client-left"
@@ -218,17 +238,34 @@
         """When the next request has to have begun, or this one to be whole."""
         if self.begun is None:
             return self.quiet_since + PATIENT * QUIET
-        return self.begun + QUIET if self.served else self.opened + WHOLE * QUIET
+        since = self.begun if self.served else self.opened
+        return since + WHOLE * QUIET + self.paused + self.received / SLOWEST
 
-    def _framed(self, request: h11.Request) -> None:
-        """Turn away what could be read in two ways, and what is too long before it is read."""
+    def _count(self, data: bytes) -> None:
+        self.received += len(data)
+        if self.received > self._longest():
+            raise Unfit(413, "body too long")
+
+    def _longest(self) -> int:
+        return LONGEST if self.node.terms.streams == 1 else LONGEST_BODY
+
+    def _kept(self) -> int:
+        """Bytes of a body up to which it is kept until it is whole."""
+        return self.node.pool.kept if self.node.terms.streams == 1 else LONGEST_BODY
+
+    def _framed(self, request: h11.Request) -> int | None:
+        """The length that a request says its body has.
+
+        Turns away what could be read in two ways, and what is too long before it is read.
+        """
         names = [name for name, _ in request.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             # Guards against a second request that hides in the body of the first.
             raise Unfit(400, "two lengths")
-        length = next((value for name, value in request.headers if name == b"content-length"), b"0")
-        if int(length) > LONGEST_BODY:
+        length = next((int(value) for name, value in request.headers if name == b"content-length"), None)
+        if length is not None and length > self._longest():
             raise Unfit(413, "body too long")
+        return length
 
     def _take(self, request: h11.Request) -> Job:
         """The work item that a request stands for."""
@@ -245,7 +282,8 @@
         category = self.node.category(named, effect_told(request.method, headers))
         if category is None:
             raise Unfit(404, "unknown category")
-        if request.target.lstrip(b"/").partition(b"?")[0].partition(b"/")[0] != named.encode("latin-1"):
+        target = ABSOLUTE.sub(b"", request.target)
+        if target.lstrip(b"/").partition(b"?")[0].partition(b"/")[0] != named.encode("latin-1"):
             raise Unfit(400, "path and x-qos differ")
         if request.method != METHODS[category.effect]:
             raise Unfit(405, "the method does not fit the category")
@@ -264,7 +302,7 @@
             raise Unfit(503, "too many connections")
         wi = WorkItem(
             category=category,
-            arrived=self.begun,
+            arrived=inf if self.flow is not None else self.heard,
             # Guards against work kept for ever for a client that says it waits so long.
             patience=min(patience, category.expiry),
             customer=self.node.customers.get(headers.get(b"x-customer", b"").decode("latin-1")),
@@ -274,23 +312,27 @@
             wi=wi,
             client=self,
             method=request.method,
-            target=request.target,
+            target=target,
             headers=request.headers.raw_items(),
-            body=self.body,
+            body=self.flow or self.body,
             trace=trace,
         )
-        self.body = Body(self.node.pool)  # the one before is the job's from now on
+        if self.flow is None:
+            self.body = Body(self.node.pool)  # the one before is the job's from now on
         return job
 
     # Answering.
 
-    def _in_hand(self, job: Job) -> Coroutine[Final]:
+    def _in_hand(self, job: Job, flow: Flow | None) -> Coroutine[Final]:
         """Wait for the final answer; what comes behind the request waits in the kernel's buffer."""
         self.job = job
         self.node.in_hand.add(job.trace)
         self.node.ledger.unheard.pop(self, None)
         try:
             self.node.module.post(Taken(job))
+            if flow is not None and (final := (yield from self._pass_on(job, flow))) is not None:
+                self.job = None
+                return final
             self.stream.want(HANGUP)
             while True:
                 mail = yield None
@@ -302,9 +344,58 @@
         finally:
             self.node.in_hand.discard(job.trace)
 
+    def _pass_on(self, job: Job, flow: Flow) -> Coroutine[Final | None]:
+        """Read the rest of a body while it is handed off; a final answer may come before its end."""
+        while True:
+            try:
+                event = self.stream.event()
+                if isinstance(event, h11.Data):
+                    self._count(event.data)
+                    flow.add(event.data)
+                    continue
+            except (Lost, Unfit, Exhausted) as error:
+                self._give_up(job)
+                raise Unfit(400, str(error)) from error if isinstance(error, Lost) else error
+            if isinstance(event, h11.EndOfMessage):
+                flow.end()
+                self.node.module.post(Whole(job))
+                return None
+            if isinstance(event, h11.ConnectionClosed):
+                raise Lost("client-left")
+            mail = yield from self._room(flow)
+            if isinstance(mail, Final):
+                return mail
+            if isinstance(mail, Ready):
+                if self.stream.read():
+                    self.heard = self.loop.now()
+            elif mail is None and self.loop.now() >= self._until():
+                self._give_up(job)
+                raise Unfit(408, "half a request")
+
+    def _room(self, flow: Flow) -> Coroutine[Any]:
+        """The next mail, unread input left out while there is no room for it."""
+        while not flow.room():
+            since = self.loop.now()
+            self.stream.pause()
+            mail = yield None if flow.full else since + self.node.shortest / 64
+            self.paused += self.loop.now() - since
+            if isinstance(mail, Final):
+                return mail
+        self.stream.want(READ)
+        return (yield self._until())
+
+    def _give_up(self, job: Job) -> None:
+        """The rest of its body can't be had."""
+        self.job = None
+        self.node.module.post(Left(job))
+
     def _write(self, status: int, final: Final | None, last: bool) -> Coroutine[None]:
         answer = final.answer if final else None
-        headers = [(b"Content-Length", str(answer.body.length if answer else 0).encode())]
+        flow = answer.body if answer and isinstance(answer.body, Flow) else None
+        length = flow.length if flow is not None else answer.body.length if answer else 0
+        headers = [(b"Transfer-Encoding", b"chunked")]
+        if length is not None:
+            headers = [(b"Content-Length", str(length).encode())]
         if answer and answer.kind:
             headers.append((b"Content-Type", answer.kind))
         if final and final.come_back > 0:
@@ -316,14 +407,12 @@
             headers.append((b"Connection", b"close"))
         try:
             self.stream.put(h11.Response(status_code=status, headers=headers))
-            if answer:
+            if flow is not None:
+                yield from self._pass_answer(flow)
+            elif answer:
                 self.stream.put(*(h11.Data(data=view) for view in answer.body.views()))
             self.stream.put(h11.EndOfMessage())
-            until = self.loop.now() + self.node.longest
-            while not self.stream.write():
-                self.stream.want(WRITE)
-                if (yield until) is None:
-                    raise Lost("slow-reader")
+            yield from self._written()
         finally:
             if answer:
                 answer.body.release()
@@ -335,6 +424,38 @@
             self.stream.http.start_next_cycle()
             self.quiet_since = self.loop.now()
 
+    def _pass_answer(self, flow: Flow) -> Coroutine[None]:
+        """Write an answer while it comes."""
+        flow.sink = self
+        # Guards against a slow reader seeming to take nothing for as long as it needs for megabytes.
+        self.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KEPT)
+        while not flow.whole:
+            part = flow.take()
+            if part.length:
+                try:
+                    self.stream.put(*(h11.Data(data=view) for view in part.views()))
+                    yield from self._written()
+                finally:
+                    part.release()
+            elif flow.broken:
+                # Guards against an answer that is not whole being taken for one that is.
+                self.stream.abort()
+                raise Lost("upstream-broke")
+            else:
+                self.stream.want(HANGUP)
+                if isinstance(mail := (yield None), Ready) and mail.hung_up:
+                    raise Lost("client-left")
+
+    def _written(self) -> Coroutine[None]:
+        until = self.loop.now() + STALL
+        while not self.stream.write():
+            self.stream.want(WRITE)
+            mail = yield until
+            if mail is None and self.loop.now() >= until:
+                raise Lost("slow-reader")
+            if isinstance(mail, Ready):
+                until = self.loop.now() + STALL  # it has taken some
+
     # The end.
 
     def _close(self) -> None:
--- a/starlingwheel/net/wire/http.py
+++ b/starlingwheel/net/wire/http.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 from collections.abc import Generator
 from typing import Any
 
@@ -41,6 +42,12 @@
             self.loop.change(self.sock.fileno(), mask)
         self.mask = mask
 
+    def pause(self) -> None:
+        """Hear nothing of it for a while, not even its end: guards against a turn for each word of that."""
+        if self.mask:
+            self.loop.forget(self.sock.fileno())
+            self.mask = 0
+
     def came_up(self) -> None:
         if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             raise Lost("refused")
@@ -122,9 +129,13 @@
                 if most <= 0:
                     self.want(HANGUP)
 
+    def abort(self) -> None:
+        """End it so that the other side can tell that it is not whole, however it is framed."""
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
     def close(self) -> None:
-        if self.mask:
-            self.loop.forget(self.sock.fileno())
+        self.pause()
         self.unwritten = []
         self.sock.close()
         self.actor = None  # guards against the two holding each other until a collection
--- a/starlingwheel/net/wire/streams.py
+++ b/starlingwheel/net/wire/streams.py
@@ -248,7 +248,7 @@
                 exchange.headers = [(n, v) for n, v in event.headers if not n.startswith(b":")]
             case h2.events.DataReceived():
                 try:
-                    if exchange.body.length + len(event.data) > self.node.pool.longest_answer:
+                    if exchange.body.length + len(event.data) > self.node.pool.large:
                         raise Exhausted
                     exchange.body.add(event.data)
                 except Exhausted:
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -16,7 +17,8 @@
 from ..actor import Actor, Coroutine
 from ..loop import INPUT, READ, WRITE, Ready
 from ..mail import CLOSE, Carry, Closed, Drop, Ended, Free, Moved
-from ..memory.buffers import Body, Exhausted
+from ..memory.buffers import KEPT, Body, Exhausted
+from ..memory.flow import LONGEST, Flow
 from ..memory.work import Answer, Errand
 from .http import Lost, Stream, connect
 
@@ -27,6 +29,8 @@
 UP = 1 / 4  # part of the shortest due time within which a connection comes up, or is given up
 HELD = 1 / 64  # part of the shortest due time for which the last byte of exclusive work is held back
 WARY = 8.0  # longest expiries for which that is done after a connection broke under a request just written
+STALL = 5.0  # seconds without a byte after which an answer that is passed on counts as broken off
+COMING = 30.0  # seconds that a work item may take to come, as far as its upstream is told
 LONGEST_REPORT = 512
 FIGURE = re.compile(r"\d{1,9}(\.\d{1,9})?")
 BEGINNING = b"HTTP/1."
@@ -52,17 +56,21 @@
     return report
 
 
-def framed(response: h11.Response, longest: int) -> None:
-    """Raises `Lost` for an answer whose end can not be told, or that is too long to pass on.
+def framed(response: h11.Response) -> int | None:
+    """The length that an answer says it has.
 
-    An answer that ends with its connection is none either: nobody could tell it from one that was cut short.
+    Raises `Lost` for one whose end can not be told, or that is too long to pass on. One that ends with its
+    connection says so: else nobody could tell it from one whose head was spoilt.
     """
     lengths = [value for name, value in response.headers if name == b"content-length"]
     chunked = any(name == b"transfer-encoding" for name, _ in response.headers)
-    if len(lengths) + chunked != 1:
+    said = [value.lower() for name, value in response.headers if name == b"connection"]
+    closes = b"close" in said or response.http_version == b"1.0"
+    if len(lengths) + chunked != 1 and not (closes and not lengths and not chunked):
         raise Lost("unframed")
-    if lengths and int(lengths[0]) > longest:
+    if lengths and int(lengths[0]) > LONGEST:
         raise Lost("answer-too-long")
+    return int(lengths[0]) if lengths else None
 
 
 def request_of(errand: Errand, node: Node, now: float) -> tuple[bytes, bytes, list[tuple[bytes, bytes]]]:
@@ -73,9 +81,12 @@
     job = errand.job
     kept = [(name, value) for name, value in job.headers if name.lower() not in HOP_BY_HOP]
     host = next(((name, value) for name, value in job.headers if name.lower() == b"host"), host)
-    left = max(1, int((errand.until - now) * 1000))
+    flow = job.body if isinstance(job.body, Flow) else None
+    left = max(1, int((errand.until - now if errand.until < inf else job.wi.patience + COMING) * 1000))
     headers = [host, *kept, (b"X-Expires-In-Ms", str(left).encode())]
-    if job.body.length or job.method != b"GET":
+    if flow is not None and flow.length is None:
+        headers.append((b"Transfer-Encoding", b"chunked"))
+    elif job.body.length or job.method != b"GET":
         headers.append((b"Content-Length", str(job.body.length).encode()))
     return job.method, job.target, headers
 
@@ -212,8 +223,7 @@
             if not self.reason:
                 # Guards against the answer of an earlier errand being taken for that of this one.
                 fate, report, answer = self._fate("defect"), {}, None
-            if self.errand is not None:
-                self._settle(fate, report, answer)
+            self._settle(fate, report, answer)
             self._close()
 
     def _fate(self, reason: str) -> Fate:
@@ -231,8 +241,10 @@
             return Fate.UNSENT
         if reason == "overdue" and written:
             return Fate.OVERDUE
-        if reason == "no-buffers" and not written:
+        if reason in ("no-buffers", "client-left") and not written:
             return Fate.UNSENT
+        if reason == "answered-early":
+            return Fate.TURNED_DOWN
         return Fate.BROKEN if written else Fate.UNREACHED
 
     def _await(self, until: float, late: str) -> Coroutine[Ready]:
@@ -264,10 +276,14 @@
             # Guards against what came behind the last answer being taken for the next one.
             raise Lost("unasked-bytes")
         self._put(errand)
-        if errand.once and self.loop.now() < self.node.resets_until:
+        if errand.flow is not None:
+            yield from self._pass_request(errand, errand.flow)
+        elif errand.once and self.loop.now() < self.node.resets_until:
             yield from self._hold_back(errand)
         yield from self._write(errand)
         errand.written, self.written_at = True, self.loop.now()
+        if errand.flow is not None:
+            errand.count_from(self.written_at)
         stream.want(READ)
         response = yield from self._answer(errand)
         headers = dict(response.headers)
@@ -280,12 +296,51 @@
             self.reason = "upstream-closes"
         fate = fate_of(response.status_code, headers)
         self.carried += 1
+        if self.errand is None:
+            return fate, report, None  # it has been passed on
         if fate is Fate.FINISHED and errand.job is not None:
             body, self.body = self.body, Body(self.node.pool)
             return fate, report, Answer(body, headers.get(b"content-type", b""))
         self.body.release()
         return fate, report, None
 
+    def _pass_request(self, errand: Errand, flow: Flow) -> Coroutine[None]:
+        """Write a body while it comes; what ends it is left to be written."""
+        flow.sink = self
+        yield from self._write(errand)
+        while not flow.whole:
+            if flow.broken:
+                raise Lost("client-left")
+            part = flow.take()
+            if not part.length:
+                self.stream.want(READ)
+                mail = yield errand.until
+                if mail is None and self.loop.now() >= errand.until:
+                    raise Lost("overdue")
+                if isinstance(mail, Ready):
+                    self._not_answered_early(mail)
+                if isinstance(mail, Drop) and mail.errand is errand:
+                    raise Lost("dropped")
+                continue
+            # What has been taken is gone: this hand-off is the only one that there will be.
+            errand.job.wi.most_hand_offs = 1
+            # With the last byte it may run: how many of these arrive is not known if the connection breaks.
+            errand.written = flow.taken == flow.length
+            try:
+                self.stream.put(*(h11.Data(data=view) for view in part.views()))
+                while not self.stream.write():
+                    self.stream.want(READ | WRITE)
+                    self._not_answered_early((yield from self._await(errand.until, "overdue")))
+            finally:
+                part.release()
+        errand.written = True
+        self.stream.put(h11.EndOfMessage())
+
+    def _not_answered_early(self, ready: Ready) -> None:
+        """Guards against sending megabytes to one that has turned them down already."""
+        if ready.mask & INPUT and not self.errand.written:
+            raise Lost("reset" if ready.hung_up else "answered-early")
+
     def _hold_back(self, errand: Errand) -> Coroutine[None]:
         """Write all but the last byte, and wait a moment for the connection to break.
 
@@ -321,36 +376,79 @@
     def _put(self, errand: Errand) -> None:
         method, target, headers = request_of(errand, self.node, self.loop.now())
         self.stream.put(h11.Request(method=method, target=target, headers=headers))
+        if errand.flow is not None:
+            return
         body = errand.job.body.views() if errand.job is not None else []
         self.stream.put(*(h11.Data(data=view) for view in body), h11.EndOfMessage())
 
     def _answer(self, errand: Errand) -> Coroutine[h11.Response]:
-        """The head of the answer; its body, whole, is then in `self.body`."""
-        response = None
-        while True:
-            event = self.stream.event()
-            if isinstance(event, h11.Response):
-                response = event
-                framed(response, self.node.pool.longest_answer)
-            elif isinstance(event, h11.Data):
-                if self.body.length + len(event.data) > self.node.pool.longest_answer:
-                    raise Lost("answer-too-long")
-                try:
-                    self.body.add(event.data)
-                except Exhausted:
-                    raise Lost("no-buffers") from None
-            elif isinstance(event, h11.EndOfMessage):
-                return response
-            elif isinstance(event, h11.ConnectionClosed):
-                raise Lost("upstream-closed")
-            elif event is h11.NEED_DATA:
-                if response is None:
-                    begun = self.stream.http.trailing_data[0]
-                    if not begun.startswith(BEGINNING[: len(begun)]):
-                        # Guards against waiting for the end of a head in noise that has no line in it.
-                        raise Lost("malformed")
-                yield from self._await(errand.until, "overdue")
-                self.stream.read()
+        """The head of the answer; its body, whole, is then in `self.body`, or it has been passed on."""
+        response, length, flow = None, None, None
+        try:
+            while True:
+                event = self.stream.event()
+                if isinstance(event, h11.Response):
+                    response, length = event, framed(event)
+                elif isinstance(event, h11.Data):
+                    if flow is None and max(length or 0, self.body.length + len(event.data)) > KEPT:
+                        flow = self._begin_to_pass_on(errand, response, length)
+                    if flow is not None and flow.total + len(event.data) > LONGEST:
+                        raise Lost("answer-too-long")
+                    try:
+                        (flow or self.body).add(event.data)
+                    except Exhausted:
+                        raise Lost("no-buffers") from None
+                elif isinstance(event, h11.EndOfMessage):
+                    if flow is not None:
+                        flow.end()
+                    return response
+                else:
+                    yield from self._read_on(event, errand, response, flow)
+        finally:
+            if flow is not None:
+                flow.break_off()
+
+    def _begin_to_pass_on(self, errand: Errand, response: h11.Response, length: int | None) -> Flow:
+        """The first bytes of a long answer are the final answer: from now on only its source ends it."""
+        headers = dict(response.headers)
+        if errand.job is None or fate_of(response.status_code, headers) is not Fate.FINISHED:
+            raise Lost("answer-too-long")
+        body, self.body = self.body, Body(self.node.pool)
+        report = told_load(response.headers, errand, body)
+        flow = Flow(self.node.pool, self, length, body)
+        self._settle(Fate.FINISHED, report, Answer(flow, headers.get(b"content-type", b"")))
+        return flow
+
+    def _read_on(
+        self, event: Any, errand: Errand, response: h11.Response | None, flow: Flow | None
+    ) -> Coroutine[None]:
+        """What is neither a head, nor a body, nor the end of one."""
+        if isinstance(event, h11.ConnectionClosed):
+            raise Lost("upstream-closed")
+        if event is not h11.NEED_DATA:
+            return
+        if response is None:
+            begun = self.stream.http.trailing_data[0]
+            if not begun.startswith(BEGINNING[: len(begun)]):
+                # Guards against waiting for the end of a head in noise that has no line in it.
+                raise Lost("malformed")
+        if flow is None:
+            yield from self._await(errand.until, "overdue")
+            self.stream.read()
+            return
+        while not flow.room() and not flow.refused:
+            # Its client is slow, or buffers are short: what follows waits in the kernel.
+            self.stream.pause()
+            yield inf if flow.full else self.loop.now() + self.node.shortest / 64
+        if flow.refused:
+            raise Lost("dropped")
+        self.stream.want(READ)
+        until = self.loop.now() + STALL
+        mail = yield until
+        if mail is None and self.loop.now() >= until:
+            raise Lost("silent")
+        if isinstance(mail, Ready):
+            self.stream.read()
 
     # Between errands.
 
@@ -371,8 +469,9 @@
                 raise Lost("upstream-closed")
 
     def _settle(self, fate: Fate, report: dict[str, float], answer: Answer | None) -> None:
-        self.node.module.post(Ended(self.errand, fate, report, answer))
-        self.errand = None
+        if self.errand is not None:
+            self.node.module.post(Ended(self.errand, fate, report, answer))
+            self.errand = None
 
     def _close(self) -> None:
         self.body.release()
--- /dev/null
+++ b/tests/test_flow.py
@@ -0,0 +1,425 @@
+"""Stories of large bodies, passed on while they come, and of slow ones."""
+
+import contextlib
+import random
+import socket
+
+import pytest
+from conftest import categories
+
+from starlingwheel.net.memory.buffers import KEPT, SIZE, Body, Pool
+from starlingwheel.net.memory.flow import FLOWING, LONGEST, WINDOW, Flow
+
+MB = 1 << 20
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+def content(size, seed=1):
+    return random.Random(seed).randbytes(size)
+
+
+def read_all(around, sock, size, at_most=None):
+    """So many bytes from a connection, at most some in a turn."""
+    got = bytearray()
+
+    def more():
+        sock.settimeout(0)
+        try:
+            data = sock.recv(min(size - len(got), at_most or MB))
+        except BlockingIOError:
+            return False
+        got.extend(data)
+        return len(got) >= size or not data
+
+    around.until(more, 20.0)
+    return bytes(got)
+
+
+def write_all(around, sock, data, within=20.0):
+    rest = memoryview(data)
+
+    def more():
+        nonlocal rest
+        sock.settimeout(0)
+        try:
+            rest = rest[sock.send(rest) :]
+        except BlockingIOError:
+            return False
+        return not rest
+
+    around.until(more, within)
+
+
+def head_and(around, sock):
+    """The head of an answer, and what came behind it."""
+    got = b""
+    while b"\r\n\r\n" not in got:
+        got += around.until(lambda: around.read(sock))
+        assert not got.endswith(b"end")
+    head, _, rest = got.partition(b"\r\n\r\n")
+    return head, rest
+
+
+def empty(around):
+    """All buffers are back, nothing is in hand."""
+    around.until(lambda: around.node.pool.in_use == 0 and not around.node.module.jobs)
+    assert not around.logged("defect") and not around.logged("module.defect")
+
+
+# Answers.
+
+
+def test_the_first_bytes_of_a_long_answer_are_passed_on_before_its_last(around):
+    client, body = around.ask(), content(KEPT + 1000)
+    upstream = around.accept()
+    around.received(upstream)
+    upstream.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body[:1000])
+    head, got = head_and(around, client)
+    assert b"200" in head and b"%d" % len(body) in head
+    # Its work item is done with: a long answer keeps no place at its upstream, and nothing cuts it.
+    around.until(lambda: not around.node.module.jobs)
+    upstream.sendall(body[1000:])
+    assert got + read_all(around, client, len(body) - len(got)) == body
+    # The connection goes on.
+    client.sendall(around.request())
+    around.received(upstream)
+    around.reply(upstream)
+    assert around.status(client) == 200
+    empty(around)
+
+
+def test_an_answer_past_the_due_time_is_not_cut(make_surroundings):
+    around = make_surroundings(settings={"categories": categories(150000)})
+    client, body = around.ask(), content(3 * KEPT)
+    upstream = around.accept()
+    around.received(upstream)
+    upstream.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % len(body))
+    got = b""
+    for start in range(0, len(body), KEPT // 2):
+        upstream.sendall(body[start : start + KEPT // 2])
+        around.let_pass(0.1)
+    head, got = head_and(around, client)
+    assert got + read_all(around, client, len(body) - len(got)) == body
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+def test_a_long_answer_in_each_framing_arrives_as_it_was(around, framing):
+    client, body = around.ask(), content(5 * KEPT)
+    upstream = around.accept()
+    around.received(upstream)
+    if framing == "length":
+        upstream.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % len(body))
+        write_all(around, upstream, body)
+    elif framing == "chunked":
+        pieces = [body[i : i + 5000] for i in range(0, len(body), 5000)]
+        text = b"".join(b"%x;a=b\r\n%s\r\n" % (len(p), p) for p in pieces) + b"0\r\nX-T: y\r\n\r\n"
+        write_all(around, upstream, HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + text)
+    else:
+        write_all(around, upstream, HEAD + b"Connection: close\r\n\r\n" + body)
+        upstream.close()
+    head, got = around.answer(client)
+    assert head.status_code == 200 and got == body
+    empty(around)
+
+
+def test_a_short_answer_that_ends_with_its_connection_and_says_so_is_whole(around):
+    client = around.ask()
+    upstream = around.accept()
+    around.received(upstream)
+    upstream.sendall(HEAD + b"Connection: close\r\n\r\nfine")
+    upstream.close()
+    assert around.answer(client)[1] == b"fine"
+
+
+def test_many_long_answers_to_slow_readers_take_few_buffers_and_arrive_as_they_were(around):
+    bodies = [content(2 * MB, seed) for seed in range(12)]
+    clients, upstreams = [], []
+    for number in range(len(bodies)):
+        client = around.client()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        client.sendall(around.request(x_trace_id=f"t{number}"))
+        upstream = around.accept()
+        around.received(upstream)
+        upstream.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % len(bodies[number]) + bodies[number][:100])
+        around.until(lambda: not around.node.module.jobs)
+        clients.append(client)
+        upstreams.append(upstream)
+    left, got = [memoryview(b)[100:] for b in bodies], [bytearray() for _ in bodies]
+    most = 0
+
+    def some():
+        nonlocal most
+        for i, (client, upstream) in enumerate(zip(clients, upstreams, strict=True)):
+            client.settimeout(0)
+            upstream.settimeout(0)
+            with contextlib.suppress(BlockingIOError):
+                left[i] = left[i][upstream.send(left[i][:MB]) :] if left[i] else left[i]
+            with contextlib.suppress(BlockingIOError):
+                got[i] += client.recv(30000)
+        most = max(most, around.node.pool.in_use)
+        return all(one.endswith(b[-100:]) for one, b in zip(got, bodies, strict=True))
+
+    around.until(some, 60.0)
+    for body, one in zip(bodies, got, strict=True):
+        assert bytes(one).partition(b"\r\n\r\n")[2] == body
+    # Between a source and its sink lies a window and what is being written; never a whole answer.
+    assert most * SIZE <= len(bodies) * 3 * (WINDOW + KEPT)
+    empty(around)
+
+
+def test_an_answer_of_32_mb_arrives_as_it_was_and_one_byte_more_is_spoilt(around):
+    client, body = around.ask(), content(MB) * 32
+    upstream = around.accept()
+    around.received(upstream)
+    upstream.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % len(body))
+    left, got = memoryview(body), bytearray()
+
+    def some():
+        nonlocal left
+        upstream.settimeout(0)
+        client.settimeout(0)
+        for _ in range(4):
+            with contextlib.suppress(BlockingIOError):
+                left = left[upstream.send(left[:MB]) :] if left else left
+            with contextlib.suppress(BlockingIOError):
+                got.extend(client.recv(MB))
+        return len(got) > len(body)
+
+    around.until(some, 60.0)
+    assert got.endswith(body[-1000:]) and len(got.partition(b"\r\n\r\n")[2]) == LONGEST == len(body)
+    empty(around)
+    other = around.ask(x_trace_id="t2")
+    around.received(upstream)
+    upstream.sendall(HEAD + b"Content-Length: %d\r\n\r\nx" % (LONGEST + 1))
+    around.until(lambda: around.read(upstream) == b"end")
+    assert around.logged("upstream.end")[-1]["reason"] == "answer-too-long"
+    other.close()
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: 200000", b"Transfer-Encoding: chunked"])
+def test_a_client_can_tell_that_an_answer_broke_off(around, framing):
+    client = around.ask()
+    upstream = around.accept()
+    around.received(upstream)
+    piece = b"x" * 70000
+    chunk = b"%x\r\n%s\r\n" % (len(piece), piece) if b"chunked" in framing else piece
+    upstream.sendall(HEAD + framing + b"\r\n\r\n" + chunk)
+    head_and(around, client)
+    upstream.close()
+    with pytest.raises(ConnectionResetError):
+        around.until(lambda: around.logged("client.end"))
+        client.settimeout(1)
+        while client.recv(MB):
+            pass
+    assert around.logged("client.end")[0]["reason"] == "upstream-broke"
+    empty(around)
+
+
+def test_a_client_that_leaves_a_long_answer_ends_the_connection_that_brings_it(around):
+    client = around.ask()
+    upstream = around.accept()
+    around.received(upstream)
+    upstream.sendall(HEAD + b"Content-Length: 9000000\r\n\r\n" + b"x" * 70000)
+    head_and(around, client)
+    client.close()
+    around.until(lambda: around.read(upstream) == b"end")
+    empty(around)
+
+
+def test_of_two_long_answers_the_first_one_is_passed_on_and_the_other_ends(make_surroundings):
+    around = make_surroundings(upstreams=2)
+    client = around.ask()
+    around.node.module.runner.balancer._delay = lambda wi: 0.01
+    i, one = around.until(around.accept_any)
+    around.received(one)
+    other = around.accept(1 - i)
+    around.received(other)
+    body = content(2 * KEPT)
+    other.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+    assert around.answer(client)[1] == body
+    assert around.until(lambda: around.read(one)) == b"end"
+    empty(around)
+
+
+# Requests.
+
+
+def upload(around, body, length=True, **headers):
+    client = around.client()
+    if length:
+        client.sendall(around.request("buy", content_length=str(len(body)), **headers))
+    else:
+        client.sendall(around.request("buy", transfer_encoding="chunked", **headers))
+    return client
+
+
+@pytest.mark.parametrize("length", [True, False])
+def test_a_body_too_long_to_keep_is_passed_on_as_it_comes(make_surroundings, length):
+    around = make_surroundings(limits={"memory_mb": 24})
+    body = content(3 * MB)
+    client = upload(around, body, length)
+    text = (
+        body
+        if length
+        else b"".join(
+            b"%x\r\n%s\r\n" % (len(p), p) for p in (body[i : i + 60000] for i in range(0, len(body), 60000))
+        )
+    )
+    text = text if length else text + b"0\r\n\r\n"
+    write_all(around, client, text[:MB])
+    # The upstream has it already, before its last byte has come.
+    upstream = around.accept()
+    assert around.until(lambda: around.read(upstream)).startswith(b"POST /buy/1?q=2")
+    [wi] = [job.wi for job in around.node.module.jobs.values()]
+    assert wi.arrived > around.node.loop.now() + 1e6 and wi.most_hand_offs == 1
+    got, left = bytearray(), memoryview(text)[MB:]
+
+    def some():
+        nonlocal left
+        client.settimeout(0)
+        with contextlib.suppress(BlockingIOError):
+            left = left[client.send(left[:100000]) :] if left else left
+        got.extend(around.read(upstream) or b"")
+        assert around.node.pool.in_use * SIZE < 24 * MB / 3
+        return len(got) >= len(body) - 65536 * 2 and not left
+
+    around.until(some, 30.0)
+    around.let_pass(0.1)
+    got.extend(around.read(upstream) or b"")
+    around.until(lambda: wi.arrived < around.node.loop.now() + 1)
+    around.reply(upstream)
+    assert around.status(client) == 200
+    empty(around)
+
+
+def long_request(make_surroundings, upstreams=2, **given):
+    around = make_surroundings(upstreams=upstreams, limits={"memory_mb": 24}, **given)
+    client = upload(around, b"x" * 3 * MB)
+    client.sendall(b"x" * 700000)
+    i, upstream = around.until(around.accept_any)
+    around.until(lambda: around.read(upstream))
+    return around, client, i, upstream
+
+
+def test_before_its_last_byte_a_long_request_has_not_run_and_may_be_deferred(make_surroundings):
+    around, client, i, upstream = long_request(make_surroundings)
+    around.reset(upstream)
+    assert around.status(client) == 503
+    around.quiet(1 - i)  # what has been passed on can't be sent again
+    empty(around)
+
+
+def test_after_its_last_byte_a_long_exclusive_request_may_have_run(make_surroundings):
+    around, client, i, upstream = long_request(make_surroundings)
+    left = 3 * MB - 700000
+
+    def some():
+        nonlocal left
+        client.settimeout(0)
+        with contextlib.suppress(BlockingIOError):
+            left -= client.send(b"x" * min(left, 100000)) if left else 0
+        around.read(upstream)
+        return not left and all(e.written for job in jobs.values() for e in job.errands.values())
+
+    jobs = around.node.module.jobs
+    around.until(some, 20.0)
+    around.reset(upstream)
+    assert around.status(client) == 504
+    around.quiet(1 - i)
+    empty(around)
+
+
+def test_a_long_request_turned_down_before_its_end_is_deferred(make_surroundings):
+    around, client, i, upstream = long_request(make_surroundings)
+    around.reply(upstream, status=503, extra="X-Never-Ran: 1\r\n")
+    assert around.status(client) == 503
+    assert around.logged("upstream.end")[0]["reason"] == "answered-early"
+    empty(around)
+
+
+def test_a_client_that_leaves_its_long_request_leaves_nothing_behind(make_surroundings):
+    around, client, i, upstream = long_request(make_surroundings)
+    client.close()
+    around.until(lambda: around.read(upstream) == b"end")
+    empty(around)
+
+
+def test_a_long_request_that_could_not_be_begun_goes_to_another(make_surroundings):
+    around = make_surroundings(upstreams=2, limits={"memory_mb": 24})
+    around.listeners[0].close()
+    body = content(2 * MB)
+    for number in range(6):
+        client = upload(around, body, x_trace_id=f"t{number}")
+        write_all(around, client, body[:MB])
+        upstream = around.accept(1)
+        got = read_all(around, upstream, MB // 2)
+        assert got.startswith(b"POST /buy")
+        client.close()
+        empty(around)
+
+
+def test_the_time_of_a_request_counts_from_its_last_byte(make_surroundings):
+    """Its body comes in pieces for longer than its due time; then there is all of that left."""
+    around = make_surroundings(settings={"categories": categories(200000)})
+    body = content(30000)
+    client = upload(around, body, x_expires_in_ms="390")
+    for start in range(0, len(body), 5000):
+        around.let_pass(0.08)
+        client.sendall(body[start : start + 5000])
+    upstream = around.accept()
+    assert around.received(upstream)[1] == body
+    around.let_pass(0.1)
+    around.reply(upstream)
+    assert around.status(client) == 200
+
+
+def test_a_body_that_comes_steadily_is_not_cut_off_and_one_that_stalls_is(around):
+    body = content(100000)
+    steady, stalled = upload(around, body), upload(around, body, x_trace_id="t2")
+    stalled.sendall(body[:5000])
+    for start in range(0, len(body), 5000):
+        around.let_pass(5000 / 32000)
+        steady.sendall(body[start : start + 5000])
+    # The head's time and 5 kB at the slowest pace are long over for the one that has stalled.
+    assert around.logged("request.unfit") and around.status(stalled) == 408
+    upstream = around.accept()
+    assert around.received(upstream)[1] == body
+    around.reply(upstream)
+    assert around.status(steady) == 200
+
+
+def test_an_absolute_target_is_passed_on_as_a_path(around):
+    client = around.ask(lead="GET http://backend.local/look/1?q=2 HTTP/1.1")
+    upstream = around.accept()
+    request, _ = around.received(upstream)
+    assert request.target == b"/look/1?q=2"
+    around.reply(upstream)
+    assert around.status(client) == 200
+
+
+# The flow itself.
+
+
+class End:
+    def __init__(self):
+        self.mail = []
+
+    def post(self, mail):
+        self.mail.append(mail)
+
+
+def test_a_flow_tells_its_ends_once_and_gives_back_what_it_holds():
+    pool, source, sink = Pool(64), End(), End()
+    flow = Flow(pool, source, None, Body(pool))
+    flow.sink = sink
+    for _ in range(17):
+        flow.add(b"x" * SIZE)
+    assert sink.mail == [FLOWING] and flow.full and not flow.room()
+    part = flow.take()
+    assert part.length == 17 * SIZE and source.mail == [FLOWING] and flow.room()
+    flow.add(b"x")
+    flow.release()
+    part.release()
+    assert flow.refused and len(source.mail) == 2 and pool.in_use == 0
+    flow.add(b"more")
+    assert pool.in_use == 0
