--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -105,8 +105,7 @@
 
     def halve(self) -> None:
         self.bins = [n / 2 for n in self.bins]
-        self.total /= 2
-        self.sum /= 2
+        self.total, self.sum = self.total / 2, self.sum / 2
 
     def aged(self, now: float, span: float, keep: float = 0.0) -> Histogram:
         """Halved as often as `span` has passed since it was last read, while more than `keep` are in it."""
@@ -250,10 +249,8 @@
                 wanted = False
                 if upstream is not None and self.now < until:
                     ho = yield Send(upstream, until - self.now, self._load(upstream))
-                    upstream.pending[ho] = None
-                    if self.tells:
-                        self.untold[upstream] = None
-                    self.out += 1
+                    if wi.arrived < inf:
+                        self.begun(ho)
                     self.trials = min(1.0, self.trials + self.trial) - (upstream.trickle < inf)
                     if self._warmth(upstream) < 1:
                         upstream.sends.append(self.now)
@@ -300,6 +297,13 @@
         else:
             yield WriteOff()
 
+    def begun(self, ho: HandOff) -> None:
+        """All of it has come. Guards against taking upstreams for busy with what is on its way there."""
+        ho.upstream.pending[ho] = None
+        if self.tells:
+            self.untold[ho.upstream] = None
+        self.out += 1
+
     def _drop(self, handed: list[HandOff]) -> Steps:
         for ho in handed:
             if ho.pending and self.terms.cancel_allowed:
@@ -540,8 +544,7 @@
             if u is not None:
                 self._flowed(u, 0 if tag in lost else max(0, before - n))
             self.counted[tag] = self.counted.get(tag, 0) + n - before
-            self.elsewhere += n - before
-            self.heard_at = self.now
+            self.elsewhere, self.heard_at = self.elsewhere + n - before, self.now
 
     def _peers_heard(self) -> bool:
         return self.heard_at > self.now - self.shortest
@@ -702,18 +705,16 @@
             u.failures, u.aside_until, u.trickle, u.hushed = 0, -inf, inf, False
 
     def _set_aside(self, u: Upstream, hushed: bool) -> None:
-        u.hushed = hushed
         u.pause = min(2 * u.pause, 2 * self.shortest) if u.trickle < inf else self.shortest / 2
         # Guards against all sidecars that heard of it trying it again in the same moment.
         u.aside_until = self.now + u.pause * (0.5 + self.chance.random())
-        u.trickle = 1
+        u.trickle, u.hushed = 1, hushed
 
     def settle(self, outcome: Outcome) -> None:
         ho, u = outcome.ho, outcome.ho.upstream
-        u.pending.pop(ho, None)
+        self.out -= u.pending.pop(ho, 0) is None
         if self.tells:
             self.untold[u] = None
-        self.out -= 1
         if outcome.fate is Fate.TURNED_DOWN:
             u.report = (self.line, self.now)
         if outcome.fate in (Fate.FINISHED, Fate.ERROR, Fate.TURNED_DOWN):
--- a/starlingwheel/decisions/runner.py
+++ b/starlingwheel/decisions/runner.py
@@ -96,8 +96,10 @@
         self._due.append((task, None))
         self._run()
 
-    def whole(self, wi: WorkItem) -> None:
-        """Its `arrived` has been set: it was taken while it was still coming."""
+    def whole(self, wi: WorkItem, out: list[HandOff]) -> None:
+        """Its `arrived` has been set: it was taken, and handed off, while it was still coming."""
+        for ho in out:
+            self.balancer.begun(ho)
         if task := self._tasks.get(wi):
             self._due.append((task, None))
             self._run()
--- a/starlingwheel/net/module.py
+++ b/starlingwheel/net/module.py
@@ -61,7 +61,7 @@
             case Whole(job):
                 # Its time counts from now on.
                 job.wi.arrived = self.runner.now
-                self.runner.whole(job.wi)
+                self.runner.whole(job.wi, list(job.errands))
             case Ended(errand, fate, report, answer):
                 self._ended(errand, fate, report, answer)
             case Left(job):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,9 +1,11 @@
 """Stories of the four rules and of the design's ordinary path."""
 
+from math import inf
+
 import pytest
 from conftest import BUY, LOOK, MOVE
 
-from starlingwheel.decisions.terms import Condition, Fate, Group, News
+from starlingwheel.decisions.terms import Condition, Fate, Group, News, WorkItem
 
 
 def test_an_answer_ends_the_work_item_and_nothing_more_is_sent(host):
@@ -191,3 +193,33 @@
         for category in served:
             served[category] += bool(host.of(host.take(category)))
     assert served[BUY] > served[LOOK]
+
+
+def test_work_that_is_still_coming_takes_no_place_at_its_upstream(make_host):
+    """Uploads of seconds made upstreams look full, and all else was deferred."""
+    host = make_host(upstreams=2)
+    balancer = host.runner.balancer
+    coming = [WorkItem(BUY, inf, 2.0) for _ in range(12)]
+    for wi in coming:
+        host.runner.take(wi)
+    assert [len(host.of(wi)) for wi in coming] == [1] * 12 and balancer.out == 0
+    host.later(10.0)  # no time limit counts yet
+    assert not host.ended and not host.cancelled
+    host.serve(4)
+    wi, ho = coming[0], host.of(coming[0])[0]
+    wi.arrived = ho.sent = host.runner.now
+    host.runner.whole(wi, [ho])
+    assert balancer.out == 1 and list(ho.upstream.pending) == [ho]
+    host.end(ho)
+    assert balancer.out == 0 and not ho.upstream.pending
+    # One that is given up before it was whole takes nothing away that it did not add.
+    host.end(host.of(coming[1])[0], Fate.UNSENT)
+    assert balancer.out == sum(len(u.pending) for u in balancer.upstreams.values())
+    # Another's time begins with its last byte.
+    wi, ho = coming[2], host.of(coming[2])[0]
+    wi.arrived = ho.sent = host.runner.now
+    host.runner.whole(wi, [ho])
+    host.later(0.5)
+    assert not host.cancelled
+    host.later(0.5)
+    assert host.cancelled == [ho]
