--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -154,7 +154,7 @@
             if self.flow is not None:
                 self.flow.break_off()
                 self.flow = None
-            self.node.ledger.unheard.pop(self, None)
+            self.node.ledger.whole(self)
         # Guards against one that asks again at full speed what is turned away each time.
         yield from self._write(status, final, last=final is None and status != 200)
         self.served += 1
@@ -226,6 +226,8 @@
                 continue
             if count:
                 self.heard = self.loop.now()
+                if not self.served:
+                    self.node.ledger.heard(self)
             if self.begun is None and count:
                 self.begun = self.heard
                 self.node.ledger.idle_clients.pop(self, None)
@@ -327,7 +329,7 @@
         """Wait for the final answer; what comes behind the request waits in the kernel's buffer."""
         self.job = job
         self.node.in_hand.add(job.trace)
-        self.node.ledger.unheard.pop(self, None)
+        self.node.ledger.whole(self)
         try:
             self.node.module.post(Taken(job))
             if flow is not None and (final := (yield from self._pass_on(job, flow))) is not None:
