--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -86,7 +86,7 @@
         limits = self.config.limits
         self.processes = processes
         self.pool.limit(int(limits.memory_mb * BUFFERS * 2**20 / SIZE / processes))
-        self.ledger.limit(limits.sockets // processes)
+        self.ledger.limit(limits.sockets, processes)
 
     def look_beside(self) -> None:
         processes = 1 + (self.beside is not None and self.beside.others())
--- a/starlingwheel/net/memory/connections.py
+++ b/starlingwheel/net/memory/connections.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 REQUESTS = 1 / 3  # part of the limit that clients hold for requests, at most
-CLIENTS = 1 / 2  # part of the limit that all connections of clients may take, those of no use among them
 OPEN = 7 / 8  # part of that many connections of clients from which on those of no use are closed
 CALLS = 1 / 32  # part of the limit for operators' calls, where they have an address
 SPARE = 1 / 16  # part of the limit for the list, peers and the log; as much again for clients of no use
@@ -24,15 +23,19 @@
         self.leaving: dict[Any, None] = {}  # those that have their last answer
         self.worst = 0
 
-    def limit(self, most: int) -> None:
-        """So many may be in use in all, from now on."""
+    def limit(self, most: int, processes: int = 1) -> None:
+        """So many may be in use in all, from now on, by so many processes of one sidecar together.
+
+        Clients hold no more of them with two processes than with one, and come over to the new one all at
+        once: what is shared is what upstreams may have.
+        """
         self.spare = max(16, int(most * SPARE))
         self.calls = max(8, int(most * CALLS)) if self.called else 0
         self.most_requests = max(1, int(most * REQUESTS))  # in hand at a time
         # Guards against connections that asked once and stay using up what clients may hold.
         self.client_share = max(1, int(self.most_requests * OPEN))
-        self.most_clients = max(self.client_share, int(most * CLIENTS) - self.spare)
-        self.share = max(1, most - self.most_clients - 2 * self.spare - self.calls)  # for upstreams
+        # For upstreams.
+        self.share = max(1, (most - self.most_requests - 2 * self.spare - self.calls) // processes)
 
     @property
     def full(self) -> bool:
@@ -43,7 +46,7 @@
     @property
     def closed(self) -> bool:
         """There is not even room to tell one more client that we are full."""
-        return len(self.clients) >= self.most_clients + self.spare
+        return len(self.clients) >= self.most_requests + self.spare
 
     def room_for_upstream(self) -> bool:
         return len(self.upstream) < self.share
@@ -53,7 +56,7 @@
 
     def client_to_close(self, connected_before: float) -> Any:
         """One that is of no use, if there are too many: guards against silent ones shutting out others."""
-        if len(self.clients) < self.most_clients:
+        if len(self.clients) < self.client_share:
             return None
         oldest = next(iter(self.unheard), None)
         # Guards against closing one that has just connected and is about to ask.
