--- a/starlingwheel/net/memory/buffers.py
+++ b/starlingwheel/net/memory/buffers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 SIZE = 8192
-KEPT = 65536  # bytes of an answer up to which it is kept until it is whole
+KEPT = 65536  # bytes of a body up to which it is kept until it is whole
 LONGEST_BODY = KEPT  # of a request that can't be passed on while it comes
 LARGE = 1 / 16  # part of all buffers that one body may take
 
@@ -47,11 +47,6 @@
     def left(self) -> int:
         return self.most - self.in_use
 
-    @property
-    def kept(self) -> int:
-        """Bytes of a request up to which it is kept until it is whole: less where others need the room."""
-        return self.large if self.left > self.most / 2 else KEPT
-
 
 class Body:
     """The body of one message. Whoever has it last gives its buffers back by `release`."""
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -180,7 +180,8 @@
                 self.stream.at_once = len(self.node.pool.scratch)
             elif isinstance(event, h11.Data):
                 self._count(event.data)
-                if self.received > self._kept():
+                # Guards against megabytes being on their way only after their last byte has come.
+                if self.received > KEPT:
                     self.flow = Flow(self.node.pool, self, length, self.body)
                     self.body = Body(self.node.pool)
                     self.flow.add(event.data)
@@ -251,10 +252,6 @@
     def _longest(self) -> int:
         return LONGEST if self.node.terms.streams == 1 else LONGEST_BODY
 
-    def _kept(self) -> int:
-        """Bytes of a body up to which it is kept until it is whole."""
-        return self.node.pool.kept if self.node.terms.streams == 1 else LONGEST_BODY
-
     def _framed(self, request: h11.Request) -> int | None:
         """The length that a request says its body has.
 
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -29,6 +29,7 @@
 UP = 1 / 4  # part of the shortest due time within which a connection comes up, or is given up
 HELD = 1 / 64  # part of the shortest due time for which the last byte of exclusive work is held back
 WARY = 8.0  # longest expiries for which that is done after a connection broke under a request just written
+HOLD = 1 / 2  # part of the due time after which an answer that does not tell its length is passed on
 STALL = 5.0  # seconds without a byte after which an answer that is passed on counts as broken off
 COMING = 30.0  # seconds that a work item may take to come, as far as its upstream is told
 LONGEST_REPORT = 512
@@ -247,10 +248,12 @@
             return Fate.TURNED_DOWN
         return Fate.BROKEN if written else Fate.UNREACHED
 
-    def _await(self, until: float, late: str) -> Coroutine[Ready]:
-        """The next word of the socket, unless the errand is given up before."""
+    def _await(self, until: float, late: str, hold: float = inf) -> Coroutine[Ready | None]:
+        """The next word of the socket, unless the errand is given up before; None: `hold` has come."""
         while True:
-            mail = yield until
+            mail = yield min(until, hold)
+            if mail is None and hold < until:
+                return None
             if mail is None:
                 raise Lost(late)
             if isinstance(mail, Ready):
@@ -402,8 +405,8 @@
                     if flow is not None:
                         flow.end()
                     return response
-                else:
-                    yield from self._read_on(event, errand, response, flow)
+                elif (yield from self._read_on(event, errand, response, flow)):
+                    flow = self._begin_to_pass_on(errand, response, length)
         finally:
             if flow is not None:
                 flow.break_off()
@@ -421,21 +424,23 @@
 
     def _read_on(
         self, event: Any, errand: Errand, response: h11.Response | None, flow: Flow | None
-    ) -> Coroutine[None]:
-        """What is neither a head, nor a body, nor the end of one."""
+    ) -> Coroutine[bool]:
+        """What is neither a head, nor a body, nor the end of one. True: it is not to be kept any longer."""
         if isinstance(event, h11.ConnectionClosed):
             raise Lost("upstream-closed")
         if event is not h11.NEED_DATA:
-            return
+            return False
         if response is None:
             begun = self.stream.http.trailing_data[0]
             if not begun.startswith(BEGINNING[: len(begun)]):
                 # Guards against waiting for the end of a head in noise that has no line in it.
                 raise Lost("malformed")
         if flow is None:
-            yield from self._await(errand.until, "overdue")
+            hold = self._hold_until(errand, response)
+            if (yield from self._await(errand.until, "overdue", hold)) is None:
+                return True
             self.stream.read()
-            return
+            return False
         while not flow.room() and not flow.refused:
             # Its client is slow, or buffers are short: what follows waits in the kernel.
             self.stream.pause()
@@ -449,6 +454,18 @@
             raise Lost("silent")
         if isinstance(mail, Ready):
             self.stream.read()
+        return False
+
+    def _hold_until(self, errand: Errand, response: h11.Response | None) -> float:
+        """How long the beginning of an answer is kept that may be a long one.
+
+        Guards against giving up, as late, one whose first bytes have come in time and which tells no length.
+        """
+        if response is None or errand.job is None or response.status_code != 200 or not self.body.length:
+            return inf
+        if any(name == b"content-length" for name, _ in response.headers):
+            return inf
+        return errand.job.wi.arrived + HOLD * errand.job.wi.category.due_time
 
     # Between errands.
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -102,6 +102,21 @@
     assert got + read_all(around, client, len(body) - len(got)) == body
 
 
+def test_an_answer_that_tells_no_length_and_has_begun_in_time_is_not_given_up_as_late(make_surroundings):
+    around = make_surroundings(settings={"categories": categories(300000)})
+    client, body = around.ask(), content(60000)
+    upstream = around.accept()
+    around.received(upstream)
+    upstream.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    for start in range(0, len(body), 10000):
+        upstream.sendall(b"%x\r\n%s\r\n" % (10000, body[start : start + 10000]))
+        around.let_pass(0.08)
+    upstream.sendall(b"0\r\n\r\n")
+    head, got = around.answer(client)
+    assert head.status_code == 200 and got == body
+    empty(around)
+
+
 @pytest.mark.parametrize("framing", ["length", "chunked", "close"])
 def test_a_long_answer_in_each_framing_arrives_as_it_was(around, framing):
     client, body = around.ask(), content(5 * KEPT)
