--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -125,7 +125,7 @@
     around = operated(upstreams=2)
     watch, _ = around.watch(b"")
     assert detach(around) == 200 and detach(around) == 200
-    for word in (
+    for word in (  # a restart, its leaving, and being listed again
         {"version": 8, "servers": [around.entry(0, started_ms=5)]},
         {"version": 9, "servers": [around.entry(0, state="left")]},
         {"version": 10, "full": True, "servers": [around.entry(0), around.entry(1)]},
