A long request that is not taken up gives its buffers back; odd settings are refused, not a defect

Found by reading the change once more: a Flow begun for a body past 64 KiB kept its buffers if the request was then turned away (unknown category, unreadable deadline); the new story fails without the mend. A list or number in the place of a table of the settings raised in the reading of SIGHUP. Ids without end: the bound no longer hangs on how many are listed.

--- a/starlingwheel/net/lifecycle/config.py
+++ b/starlingwheel/net/lifecycle/config.py
@@ -87,6 +87,14 @@
     absence takes a meaning.
     """
     config, path = _read(environment), environment["EDGE_CONFIG"]
+    try:
+        _complete(before, config, path)
+    except (TypeError, AttributeError) as error:
+        raise Unusable(f"{path}: settings: {error}") from error
+    return config, _terms(config, path)
+
+
+def _complete(before: Config, config: Config, path: str) -> None:
     missing = [*sorted(before.named - config.named - START_ONLY)]
     missing += [f"settings.{key}" for key in _missing(before.settings, config.settings)]
     if missing:
@@ -98,7 +106,6 @@
             or not (isfinite(value) and value > 0)
         ):
             raise Unusable(f"{path}: settings.{key}: {value!r} is no positive number")
-    return config, _terms(config, path)
 
 
 def _missing(before: Any, now: Any) -> Iterator[str]:
--- a/starlingwheel/net/memory/out.py
+++ b/starlingwheel/net/memory/out.py
@@ -77,12 +77,11 @@
     def _know(self, ids: Iterable[str]) -> None:
         for one in ids:
             self.known[one] = None
-        while len(self.known) > MOST_KNOWN:
+        if len(self.known) > MOST_KNOWN:
             # Guards against growing without end where ids are ever new; what is listed now stays.
-            oldest = next(iter(self.known))
-            del self.known[oldest]
-            if oldest in self.entries or oldest in self.kept.out:
-                self.known[oldest] = None
+            kept = [one for one in self.known if one in self.entries or one in self.kept.out]
+            late = [one for one in self.known if one not in self.entries and one not in self.kept.out]
+            self.known = dict.fromkeys([*late[-MOST_KNOWN // 2 :], *kept])
 
     # What operators say.
 
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -133,6 +133,7 @@
 
     def _serve(self) -> Coroutine[None]:
         final: Final | None = None
+        taken = False
         try:
             request = yield from self._read()
             if request is None:
@@ -141,6 +142,7 @@
                 status = 200 if self.node.ready else 503
             else:
                 job = self._take(request)
+                taken = True
                 final = yield from self._in_hand(job, self.flow)
                 status = final.status
         except Unfit as unfit:
@@ -153,6 +155,9 @@
             self.body.release()
             if self.flow is not None:
                 self.flow.break_off()
+                if not taken:
+                    # Guards against buffers lost with a long request that is not taken up.
+                    self.flow.release()
                 self.flow = None
             self.node.ledger.whole(self)
         # Guards against one that asks again at full speed what is turned away each time.
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -373,6 +373,15 @@
         empty(around)
 
 
+@pytest.mark.parametrize("wrong", [{"x_qos": "other"}, {"x_expires_in_ms": "soon"}])
+def test_a_long_request_that_is_not_taken_up_leaves_nothing_behind(around, wrong):
+    client = upload(around, b"x" * 2 * MB, **wrong)
+    client.sendall(b"x" * 200000)
+    assert around.status(client) in (400, 404)
+    client.close()
+    empty(around)
+
+
 def test_the_time_of_a_request_counts_from_its_last_byte(make_surroundings):
     """Its body comes in pieces for longer than its due time; then there is all of that left."""
     around = make_surroundings(settings={"categories": categories(200000)})
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -40,6 +40,9 @@
     ("settings.rules", ("rules",), ...),
     ("settings.caps.cancel", ("caps", "cancel"), ...),
     ("categories", ("categories",), []),
+    ("settings", ("categories",), 5),
+    ("settings", ("caps",), 7),
+    ("settings", ("categories", 1), "look"),
 ]
 
 
