--- /dev/null
+++ b/trials/__main__.py
@@ -0,0 +1,36 @@
+"""python -m trials NAME --seed N: play a trial; exit code 0: all promises kept, 1: one was broken."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+from . import loss
+from .rig import ROOT
+
+TRIALS = {"loss": loss.play}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m trials", description=__doc__)
+    parser.add_argument("trial", choices=TRIALS)
+    parser.add_argument("--seed", type=int, default=1, help="names the timetable of faults (default: 1)")
+    parser.add_argument("--seeds", type=int, default=1, help="so many seeds in a row (default: 1)")
+    parser.add_argument("--root", type=Path, default=ROOT, help="another checkout whose program is played")
+    parser.add_argument("--sidecars", type=int, default=5, help="processes of the program (default: 5)")
+    given = parser.parse_args()
+    kept = True
+    for seed in range(given.seed, given.seed + given.seeds):
+        verdict = asyncio.run(TRIALS[given.trial](seed, given.sidecars, root=given.root))
+        print(json.dumps({"trial": given.trial, "seed": seed, "kept": verdict.kept, **verdict.counts}))
+        for one in verdict.broken:
+            print("  " + one)
+        kept = kept and verdict.kept
+    return 0 if kept else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/trials/loss.py
@@ -0,0 +1,31 @@
+"""The loss of a sidecar: one of several is killed with work in hand, its clients come to another one."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from .rig import ROOT, Rig
+from .verdict import Verdict, judge
+
+
+async def play(
+    seed: int, sidecars: int = 5, root: Path = ROOT, rate: float = 200.0, seconds: float = 2.0
+) -> Verdict:
+    """Exclusive work for all; one sidecar is killed in the middle."""
+    async with Rig(seed, sidecars, root=root) as rig:
+        start = asyncio.get_running_loop().time()
+        sending = asyncio.create_task(rig.clients.send(rate, seconds, {"buy": 1.0}))
+        await asyncio.sleep(seconds / 2)
+        lost = rig.chance.choice(rig.sidecars)
+        in_hand = [w for w in rig.clients.done if w.tries and w.tries[-1].end == "open"]
+        in_hand = [w for w in in_hand if w.tries[-1].sidecar == lost.name]
+        lost.kill()
+        rig.clients.avoid.add(lost.name)
+        await sending
+        await rig.clients.rest(rig.clients.waits + 1)
+        verdict = judge(rig.clients.done, rig.runs, start)
+        verdict.counts["in hand at the loss"] = len(in_hand)
+        verdict.counts["of these finished"] = sum(w.finished for w in in_hand)
+        verdict.counts["of these ran twice"] = sum(len(rig.of(w.name)) > 1 for w in in_hand)
+        return verdict
--- /dev/null
+++ b/trials/rig.py
@@ -0,0 +1,201 @@
+"""The rig: real processes of the program, stand-ins round them, faults between; all ends by id."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from standins.clients import Clients
+from standins.http1 import Broken, Caller
+from standins.listing import Listing
+from standins.relay import Relay
+from standins.upstream import Run, Upstream
+
+ROOT = Path(__file__).parent.parent
+START = 20.0  # seconds within which all are ready, however busy the machine is
+DIE_WITH_PARENT = 1  # prctl's PR_SET_PDEATHSIG
+ZONES = ("north", "east", "south")
+TIMES = {"dueTime": 1_000_000, "expiry": 2_000_000}
+CATEGORIES = [
+    {"name": "look", "effect": "free", "payoff": 1.0} | TIMES,
+    {"name": "buy", "effect": "single_shot", "payoff": 8.0} | TIMES,
+    {"name": "move", "effect": "guarded", "window": 2_000_000, "payoff": 4.0} | TIMES,
+]
+CAPS = {
+    "mostHandOffs": 3, "cancel": True, "peers": False, "probing": False, "mayDuplicate": True,
+    "connectTimeout": 200_000, "keepalive": 5_000_000, "retryAfter": True, "maxRetryAfter": 1_000_000,
+}  # fmt: skip
+
+
+def _die_with_parent() -> None:
+    """Guards against processes that outlive a rig that was killed."""
+    ctypes.CDLL(None).prctl(DIE_WITH_PARENT, signal.SIGKILL)
+
+
+def free_port(host: str) -> int:
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
+class Sidecar:
+    """One real process, started again under the same name and addresses."""
+
+    def __init__(self, rig: Rig, number: int) -> None:
+        self.rig, self.number, self.name = rig, number, f"n{number}"
+        self.host = f"127.0.1.{number + 1}"
+        self.zone = ZONES[number % len(ZONES)]
+        self.port, self.mgmt, self.fleet_port = (free_port(self.host) for _ in range(3))
+        self.process: subprocess.Popen[bytes] | None = None
+        self.relays: list[Relay] = []
+        self.list = Listing(self._entries)
+        self.paths = {kind: rig.folder / f"{self.name}.{kind}" for kind in ("json", "log")}
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    def _entries(self) -> list[dict[str, Any]]:
+        told = self.rig.listed
+        return [
+            {"id": u.name, "addr": relay.address, "zone": u.zone, "state": "active"} | told.get(u.name, {})
+            for u, relay in zip(self.rig.upstreams, self.relays, strict=True)
+        ]
+
+    async def prepare(self) -> None:
+        await self.list.server.begin()
+        for upstream in self.rig.upstreams:
+
+            def note(far: tuple[str, int], near: tuple[str, int], u: Upstream = upstream) -> None:
+                u.origins[far] = self.name
+
+            relay = Relay(lambda u=upstream: (u.server.host, u.server.port), self.rig.chance, said=note)
+            await relay.begin()
+            self.relays.append(relay)
+
+    def configuration(self) -> dict[str, Any]:
+        settings = {
+            "categories": CATEGORIES, "caps": CAPS, "rules": {"mustAskIn": 8_000_000}, "discovery": "ask",
+            "locality": self.zone, "replicasOfMe": len(self.rig.sidecars), "slotNo": self.number,
+        }  # fmt: skip
+        return {
+            "name": self.name,
+            "listen": self.address,
+            "discovery": self.list.server.address,
+            "mgmt": f"{self.host}:{self.mgmt}",
+            "seed": f"{self.rig.seed}-{self.name}",
+            "known": {"version": 0, "full": True, "servers": self._entries()},
+            "settings": settings,
+        } | self.rig.further(self)
+
+    def start(self) -> None:
+        self.paths["json"].write_text(json.dumps(self.configuration()))
+        with self.paths["log"].open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-B", "-m", "starlingwheel"],
+                cwd=self.rig.root, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                env=os.environ | {"EDGE_CONFIG": str(self.paths["json"])}, preexec_fn=_die_with_parent,
+            )  # fmt: skip
+
+    async def ready(self) -> None:
+        caller, until = Caller(self.address), asyncio.get_running_loop().time() + START
+        while asyncio.get_running_loop().time() < until:
+            with contextlib.suppress(Broken):
+                if (await caller.call("GET", "/ready", {}))[0] == 200:
+                    caller.close()
+                    return
+            if self.process is None or self.process.poll() is not None:
+                break
+            await asyncio.sleep(0.02)
+        raise RuntimeError(f"{self.name} is not ready: {self.paths['log'].read_text()[-2000:]}")
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    def logged(self, event: str) -> list[dict[str, Any]]:
+        lines = []
+        for line in self.paths["log"].read_text().splitlines():
+            with contextlib.suppress(json.JSONDecodeError):
+                lines.append(json.loads(line))
+        return [line for line in lines if line.get("event") == event]
+
+
+class Rig:
+    """Processes, stand-ins and links of one trial: `async with Rig(...) as rig`."""
+
+    def __init__(
+        self, seed: int, sidecars: int = 5, upstreams: int = 12, service: float = 0.08, root: Path = ROOT
+    ) -> None:
+        self.seed, self.root = seed, root
+        self.chance = random.Random(seed)
+        self.kept = tempfile.TemporaryDirectory(prefix="trial-")
+        self.folder = Path(self.kept.name)
+        self.runs: list[Run] = []
+        self.listed: dict[str, dict[str, Any]] = {}  # what the list says otherwise of an upstream
+        self.upstreams = [
+            Upstream(f"u{i}", ZONES[i % len(ZONES)], random.Random(f"{seed}-u{i}"), service, self.runs)
+            for i in range(upstreams)
+        ]
+        self.sidecars = [Sidecar(self, i) for i in range(sidecars)]
+        self.clients = Clients({s.name: s.address for s in self.sidecars}, random.Random(f"{seed}-clients"))
+
+    def further(self, sidecar: Sidecar) -> dict[str, Any]:
+        """What else the configuration of a sidecar says."""
+        return {}
+
+    async def __aenter__(self) -> Rig:
+        try:
+            await self._begin()
+        except BaseException:
+            await self._end()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._end()
+
+    async def _begin(self) -> None:
+        for upstream in self.upstreams:
+            await upstream.server.begin()
+        for sidecar in self.sidecars:
+            await sidecar.prepare()
+        for sidecar in self.sidecars:
+            sidecar.start()
+        await asyncio.gather(*(sidecar.ready() for sidecar in self.sidecars))
+
+    async def _end(self) -> None:
+        await self.clients.rest(0)
+        for sidecar in self.sidecars:
+            sidecar.signal(signal.SIGCONT)
+            sidecar.kill()
+        for sidecar in self.sidecars:
+            for relay in sidecar.relays:
+                await relay.stop()
+            await sidecar.list.server.stop()
+        for upstream in self.upstreams:
+            await upstream.server.stop()
+        self.kept.cleanup()
+
+    def of(self, name: str) -> list[Run]:
+        return [run for run in self.runs if run.name == name]
