--- a/standins/relay.py
+++ b/standins/relay.py
@@ -59,8 +59,9 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        if self.server is None:
+            return
+        self.server.close()
         self.reset()
         for task in list(self.tasks):
             task.cancel()
--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -255,12 +255,12 @@
             due -= wi.category.expiry - wi.patience
         if due <= 0:
             due, stake = wi.patience, stake * wi.category.late_payoff
-        handed: list[HandOff] = []
+        handed: list[HandOff] = [*wi.before]
         wi.home = self._home(wi.key)
         copies, delays = 0, 1
         questions = self._questions(wi.category)
-        wanted = True
-        while True:
+        wanted: bool | None = not handed or self._may_send(wi, handed) or None
+        while wanted is not None:
             # Guards against late answers, worth a part, taking the room of those that can still come in time.
             until = wi.arrived + min(due * GIVE_UP, wi.patience)
             if wanted:
--- a/starlingwheel/decisions/runner.py
+++ b/starlingwheel/decisions/runner.py
@@ -8,9 +8,10 @@
 import heapq
 import random
 from collections import deque
+from collections.abc import Sequence
 from typing import Any, Protocol
 
-from .rules import Balancer
+from .rules import Balancer, Upstream
 from .terms import (
     GONE,
     Asked,
@@ -90,12 +91,20 @@
                 self._run()
         self._arm()
 
-    def take(self, wi: WorkItem) -> None:
+    def take(self, wi: WorkItem, before: Sequence[tuple[Listing, float, bool]] = ()) -> None:
+        """`before`: the hand-offs that a lost sidecar made for it: where, when, whether it may have run."""
         wi.most_hand_offs = wi.most_hand_offs or self.balancer.terms.most_hand_offs
+        if before:
+            wi.before = [self._former(wi, *told) for told in before]
         task = self._tasks[wi] = Task(self.balancer.work(wi), wi)
         self._due.append((task, None))
         self._run()
 
+    def _former(self, wi: WorkItem, listing: Listing, sent: float, risky: bool) -> HandOff:
+        known = self.balancer.upstreams.get(listing.address) or Upstream(listing, self.now, 1)
+        fate = None if risky else Fate.UNSENT
+        return HandOff(wi, known, min(sent, self.now), pending=False, fate=fate)
+
     def whole(self, wi: WorkItem, out: list[HandOff]) -> None:
         """Its `arrived` has been set: it was taken, and handed off, while it was still coming."""
         for ho in out:
--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Generator
+from collections.abc import Generator, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -134,6 +134,7 @@
     key: str = ""  # what it is about; empty: nothing that others share
     home: int | None = None  # the cell that all sidecars pick for its key
     most_hand_offs: int = 0  # 0: as the terms say that are in force when it is taken
+    before: Sequence[HandOff] = ()  # made by another sidecar, which is lost
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/starlingwheel/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What several sidecars decide together. No I/O: clock and randomness are passed in, a `Door` carries out."""
--- /dev/null
+++ b/starlingwheel/fleet/cover.py
@@ -0,0 +1,771 @@
+"""Work in hand that survives the loss of its sidecar: another one takes it over, once.
+
+Each named work item has a home, one member by rendezvous hash over the view. The home alone says that a
+name is new; whoever hears that is the item's owner. The owner's keepers (the home, and others in its place)
+record each intent to hand off before the hand-off's last byte is written. When the owner is lost the home
+raises the item's epoch, which ends what the owner may still begin, and owns it with the history that it has.
+
+`Covering` is one member's part. It does no I/O: the host sets `now` and tells what happened, a `Door` carries
+out what is asked for. What it relies on: the frames of a link come in order and whole, or the link ends.
+"""
+
+from __future__ import annotations
+
+import enum
+import heapq
+from collections import Counter
+from math import inf
+from typing import Any, Protocol
+
+from .frames import (
+    ANSWERED,
+    FULL,
+    KEPT,
+    MOVED,
+    NEW,
+    NOTED,
+    OTHER,
+    RUNNING,
+    STALE,
+    STRANGER,
+    UNKNOWN,
+    Answered,
+    Asked,
+    Beat,
+    Cover,
+    Ended,
+    Find,
+    Frame,
+    Intend,
+    Intent,
+    Kept,
+    Reply,
+    Told,
+)
+from .view import View
+
+FINISHED, DEFERRED, MIXED_UP, WRITTEN_OFF = 200, 503, 422, 504
+RERUNNABLE = "rerunnable"
+UNSENT = "unsent"  # the fate of a hand-off that was never let go
+REMEMBERED = 1 / 2  # of the longest expiry: for so long after an item's end its answer is kept
+COME_BACK = 1 / 8  # of the longest expiry: when to come again to one who can't be told what became of it
+RECENT = 1 / 4  # of the longest expiry: so old may the word of a member be that counts as heard
+EACH = 512  # bytes that an item takes beside its bodies
+NOTHING = Asked(b"", b"", [], b"", b"")
+
+
+class State(enum.Enum):
+    ASKING = "asking"  # a repeat whose home has not said yet whether it is new
+    OWNING = "owning"  # we act on it
+    JOINED = "joined"  # another one acts on it, somebody here waits
+    KEEPING = "keeping"  # another one acts on it, we record
+    DONE = "done"  # it has its final answer
+
+
+UNSURE = (State.ASKING, State.JOINED, State.OWNING)
+
+
+class Word(enum.Enum):
+    """What the host does with a request that has come."""
+
+    RUN = "run"  # decide on it now; its hand-offs wait until they are let go
+    WAIT = "wait"  # `Door.decide` or `Door.answer` follows, or has been called already
+    ANSWER = "answer"  # `Item.reply` is its final answer
+    OTHER = "other"  # the name stands for another request
+
+
+class Item:
+    """One named work item, as one member knows it."""
+
+    __slots__ = (
+        "key", "mark", "category", "effect", "at", "until", "repeat", "asked", "intents", "epoch", "owner",
+        "state", "reply", "keepers", "sure", "running", "main", "waiting", "askers", "clients", "adopted",
+        "let_go", "unnoted", "at_home", "bytes",
+    )  # fmt: skip
+
+    def __init__(self, told: Cover, state: State) -> None:
+        self.key, self.mark, self.category, self.effect = told.key, told.mark, told.category, told.effect
+        self.at, self.until, self.repeat, self.asked = told.at, told.until, told.repeat, told.asked
+        self.intents, self.epoch, self.owner = list(told.intents), told.epoch, told.owner
+        self.state = state
+        self.reply: Reply | None = None
+        # Who was told of it, and how many intents each has recorded; -1: not even the item.
+        self.keepers: dict[str, int] = {}
+        self.sure = False  # that it is new has been granted to us
+        self.running = False  # the host decides on it
+        self.main: Any = None  # the client for which it does
+        self.waiting: dict[int, None] = {}  # hand-offs that are not let go yet
+        self.askers: dict[str, None] = {}  # members that wait for its answer
+        self.clients: dict[Any, float] = {}  # the host's requests that wait for its answer, and until when
+        self.adopted = False  # it was another one's
+        self.let_go = False  # a hand-off of ours was let go
+        self.unnoted: Reply | None = None  # a deferral that its keepers have not recorded yet
+        self.at_home = ""  # whom we asked, or who acts on it
+        self.bytes = len(told.asked.body) + EACH
+
+    @property
+    def may_have_run(self) -> bool:
+        return (self.adopted or self.let_go) and any(not intent.fate for intent in self.intents)
+
+    def cover(self, asks: bool) -> Cover:
+        return Cover(
+            self.key, self.owner, self.epoch, asks, self.mark, self.category, self.effect, self.at,
+            self.until, self.repeat, self.asked, self.intents, self.sure,
+        )  # fmt: skip
+
+
+class Door(Protocol):
+    def say(self, member: str, frame: Frame) -> bool:
+        """False: there is no link to it now."""
+
+    def go(self, item: Item, number: int) -> None:
+        """That hand-off may be written whole."""
+
+    def stop(self, item: Item, number: int) -> None:
+        """That hand-off is never to be written whole."""
+
+    def decide(self, item: Item) -> None:
+        """Decide on it, with its history; what is decided on already goes on."""
+
+    def answer(self, item: Item, client: Any, reply: Reply) -> None:
+        """The final answer for one that waits here."""
+
+    def note(self, event: str, **fields: Any) -> None:
+        """For the log."""
+
+
+class Covering:
+    """One member's part of the cover of the whole fleet's work."""
+
+    def __init__(self, me: str, longest: float, count: int, room: int, door: Door, now: float) -> None:
+        """`longest`: the longest expiry, seconds; `count`: keepers an item; `room`: bytes kept for others."""
+        self.me, self.longest, self.count, self.room = me, longest, count, room
+        self.door, self.now = door, now
+        self.items: dict[bytes, Item] = {}
+        self.view = View()
+        self.view_at = now
+        # The last view under which all had told us what they own, and those since.
+        self.lately: list[View] = []
+        self.settled = False  # there was one
+        self.told: dict[str, int] = {}  # the view under which each member has told us that
+        self.beats: dict[str, tuple[float, Beat]] = {}
+        self.links: set[str] = set()
+        self.held: list[tuple[str, Cover]] = []  # asked of us before all have told
+        self.lease_until = -inf
+        self.counts: Counter[str] = Counter()
+        self.kept_bytes = 0
+        # When an item is over, or a client has waited enough.
+        self.ends: list[tuple[float, int, Item, Any]] = []
+        self.number = 0
+
+    # What the host tells.
+
+    def viewed(self, view: View, gap: bool) -> None:
+        """Another set of members holds leases. `gap`: there may have been others between."""
+        if view.digest == self.view.digest:
+            return
+        self.view, self.view_at = view, self.now
+        self.settled = self.settled and not gap
+        self.lately = [*self.lately, view] if self.settled else [view]
+        for item in list(self.items.values()):
+            self._place(item)
+        for member in list(self.links):
+            self.door.say(member, Told(view.digest))
+        self._perhaps_settled()
+
+    def up(self, member: str) -> None:
+        """There is a link to a member: the first one, or a new one."""
+        self.links.add(member)
+        for item in list(self.items.values()):
+            if item.state is State.OWNING and member in item.keepers:
+                # What was said on the link before may be lost, and it may have taken over meanwhile.
+                self._cover(item, member)
+            self._place(item)
+        self.door.say(member, Told(self.view.digest))
+
+    def down(self, member: str) -> None:
+        """The link to a member has ended, or nothing comes over it any more."""
+        self.links.discard(member)
+        self.beats.pop(member, None)
+        self.told.pop(member, None)
+        self.held = [(who, cover) for who, cover in self.held if who != member]
+        for item in list(self.items.values()):
+            item.askers.pop(member, None)
+            if item.state is State.OWNING and member in item.keepers:
+                item.keepers[member] = -1
+                if item.unnoted is not None:
+                    # Guards against telling a client that nothing was done while one that we can't reach
+                    # takes it over.
+                    self._done(item, Reply(WRITTEN_OFF))
+            elif (item.state is State.KEEPING and item.owner == member) or item.at_home == member:
+                self._place(item)
+
+    def heard(self, member: str, frame: Frame) -> None:
+        """A frame that a member has sent, of bounded size and of a known type."""
+        match frame:
+            case Beat():
+                self.beats[member] = (self.now, frame)
+            case Told(view):
+                self.told[member] = view
+                self._perhaps_settled()
+                for item in list(self.items.values()):
+                    if not item.sure and item.state in (State.OWNING, State.ASKING):
+                        self._place(item)
+            case Cover():
+                self._covered(member, frame)
+            case Find(key, mark):
+                self._find(member, key, mark)
+            case Intend(key, epoch, number, intent):
+                self._intends(member, key, epoch, number, intent)
+            case Ended(key, epoch, number, fate):
+                item = self.items.get(key)
+                if item and (item.owner, item.epoch) == (member, epoch) and 0 <= number < len(item.intents):
+                    item.intents[number].fate = fate
+            case Answered(key, epoch, reply):
+                self._answered(member, key, epoch, reply)
+            case Kept():
+                self._kept(member, frame)
+
+    @property
+    def settled_now(self) -> bool:
+        """All have told us what they own under the view that holds."""
+        return not self.view.members or (self.settled and len(self.lately) == 1)
+
+    def tick(self) -> None:
+        """Forget what is over, answer who has waited enough."""
+        while self.ends and self.ends[0][0] <= self.now:
+            _, _, item, client = heapq.heappop(self.ends)
+            if client is None and self._over(item) <= self.now:
+                self._forget(item)
+            elif client is None:
+                self._remind(self._over(item), item, None)
+            elif client in item.clients and not (item.state is State.OWNING and client is item.main):
+                # Guards against one that has joined waiting for an answer that is lost.
+                del item.clients[client]
+                self.counts["waited_out"] += 1
+                self.door.answer(item, client, Reply(WRITTEN_OFF))
+        if not self.settled_now and self.now >= self.view_at + self.longest:
+            self._perhaps_settled()
+
+    def next_at(self) -> float:
+        """When to call `tick` again."""
+        settles = inf if self.settled_now else self.view_at + self.longest
+        return min(self.ends[0][0] if self.ends else inf, settles)
+
+    # What the host asks.
+
+    def begin(self, told: Cover, client: Any, until: float) -> tuple[Word, Item]:
+        """A client's request with a name, to be answered by `until`. Its item, and what to do."""
+        item = self.items.get(told.key)
+        if item is not None and self._free(item):
+            self._forget(item)
+            item = None
+        if item is not None:
+            if item.mark != told.mark:
+                self.counts["other"] += 1
+                return Word.OTHER, item
+            if item.state is State.DONE:
+                self.counts["answered_again"] += 1
+                return Word.ANSWER, item
+            self.counts["joined"] += 1
+            item.until = max(item.until, told.until)
+            self._waits(item, client, until)
+            return Word.WAIT, item
+        item = self._add(Item(told, State.ASKING))
+        self._waits(item, client, until)
+        self.counts["covered"] += 1
+        # Guards against connections spoilt for what another one acts on already: a repeat waits for the word.
+        if not item.repeat or self.view.home(item.key) == self.me:
+            item.state, item.running = State.OWNING, True
+        self._seek(item)
+        if item.state is State.OWNING and (item.sure or not item.repeat):
+            item.running, item.main = True, client
+            return Word.RUN, item
+        item.running = False
+        if item.state is State.OWNING:
+            item.state = State.ASKING
+        return Word.WAIT, item
+
+    def intend(self, item: Item, intent: Intent) -> int:
+        """A hand-off is to be made; its number. `Door.go` or `Door.stop` follows by `hand_on`."""
+        item.intents.append(intent)
+        return len(item.intents) - 1
+
+    def hand_on(self, item: Item, number: int) -> None:
+        """Have the intent of that number recorded."""
+        if item.state is not State.OWNING:
+            item.intents[number].fate = UNSENT
+            self.door.stop(item, number)
+            return
+        item.waiting[number] = None
+        for member in list(item.keepers):
+            self.door.say(member, Intend(item.key, item.epoch, number, item.intents[number]))
+        self._let_go(item)
+
+    def ended(self, item: Item, number: int, fate: str) -> None:
+        """A hand-off is known never to have run."""
+        item.waiting.pop(number, None)
+        if number < len(item.intents):
+            item.intents[number].fate = fate
+        if item.state is State.OWNING:
+            for member in item.keepers:
+                self.door.say(member, Ended(item.key, item.epoch, number, fate))
+
+    def answered(self, item: Item, reply: Reply) -> Reply | None:
+        """Our decisions have a final answer. What our client gets; None: `Door.answer` follows."""
+        item.running = False
+        if item.state is State.DONE:
+            return item.reply
+        if item.state is not State.OWNING:
+            # Another one has taken it over. A hand-off of ours that was let go before may still finish it.
+            if reply.status != FINISHED:
+                return None
+            self.door.say(item.at_home, Answered(item.key, item.epoch, reply))
+            self._done(item, reply)
+            return reply
+        if reply.status == DEFERRED and item.may_have_run and (item.adopted or item.askers):
+            # Guards against a deferral for one client of what its lost owner finished for another.
+            reply = Reply(WRITTEN_OFF)
+        if reply.status == DEFERRED and item.keepers:
+            if all(member in self.links for member in item.keepers):
+                item.unnoted = reply
+                self._tell_keepers(item, reply)
+                return None
+            reply = Reply(WRITTEN_OFF)
+        self._tell_keepers(item, reply)
+        self._done(item, reply)
+        return reply
+
+    def wait_on(self, item: Item, client: Any, until: float) -> None:
+        """A client whose decisions have ended without an answer waits for another's."""
+        if item.state is State.DONE and item.reply is not None:
+            self.door.answer(item, client, item.reply)
+        else:
+            self._waits(item, client, until)
+
+    def left(self, item: Item, client: Any) -> bool:
+        """A client that waited has gone. True: nobody needs it any more, and nothing can come of it."""
+        item.clients.pop(client, None)
+        if item.clients or item.askers or item.state is State.DONE:
+            return False
+        if item.state in (State.JOINED, State.ASKING):
+            self._forget(item)
+            return True
+        if item.state is not State.OWNING or item.adopted:
+            return False
+        if item.effect != RERUNNABLE and item.may_have_run:
+            return False  # whoever comes again under its name learns how it ended
+        self._tell_keepers(item, Reply(DEFERRED))
+        self._forget(item)
+        return True
+
+    # The owner's part.
+
+    def _add(self, item: Item) -> Item:
+        self.items[item.key] = item
+        self.kept_bytes += item.bytes
+        self._remind(self._over(item), item, None)
+        return item
+
+    def _waits(self, item: Item, client: Any, until: float) -> None:
+        item.clients[client] = until
+        self._remind(until, item, client)
+
+    def _remind(self, at: float, item: Item, client: Any) -> None:
+        self.number += 1
+        heapq.heappush(self.ends, (at, self.number, item, client))
+
+    def _over(self, item: Item) -> float:
+        return item.until + REMEMBERED * self.longest
+
+    def _forget(self, item: Item) -> None:
+        if self.items.get(item.key) is item:
+            del self.items[item.key]
+            self.kept_bytes -= item.bytes
+
+    def _free(self, item: Item) -> bool:
+        """Its name may be used again: it was given up with nothing done, or may be done over."""
+        if item.state is not State.DONE or item.reply is None:
+            return False
+        over = item.effect == RERUNNABLE and item.reply.status == WRITTEN_OFF
+        return item.reply.status == DEFERRED or over
+
+    def _seek(self, item: Item) -> None:
+        """Ask the home whether it is new; where that can't be reached, whoever would stand in for it."""
+        home = self.view.home(item.key)
+        item.at_home = ""
+        if home == self.me:
+            if self._steady(item.key):
+                self._own(item)
+            else:
+                self.counts["held"] += 1
+            return
+        if not home or self.me not in self.view:
+            self._uncovered(item, "no-view")
+            return
+        if home in self.links:
+            item.at_home = home
+            self._cover_by_all(item)
+            return
+        stands_in = next((m.id for m in self.view.ranks(item.key) if m.id in self.links), "")
+        if item.repeat and item.effect != RERUNNABLE:
+            # Guards against doing twice what only the home may know of.
+            item.state, item.at_home = State.ASKING, stands_in
+            if not stands_in or not self.door.say(stands_in, Find(item.key, item.mark)):
+                self._give_up(item, "home-unreachable")
+            return
+        if not stands_in:
+            self._uncovered(item, "no-link")
+            return
+        self.counts["stood_in"] += 1
+        item.sure, item.state = True, State.OWNING
+        self._cover(item, stands_in)
+
+    def _cover(self, item: Item, member: str) -> None:
+        item.owner = self.me
+        asks = self.view.home(item.key) == member
+        if self.door.say(member, item.cover(asks)):
+            item.keepers[member] = -1
+
+    def _cover_by_all(self, item: Item) -> None:
+        for member in self.view.keepers(item.key, self.me, self.count, self.links):
+            if member not in item.keepers:
+                self._cover(item, member)
+
+    def _own(self, item: Item) -> None:
+        """Granted to us, who are its home."""
+        item.sure, item.state = True, State.OWNING
+        self._cover_by_all(item)
+        if not item.keepers:
+            self._uncovered(item, "alone" if len(self.view.members) == 1 else "no-link")
+
+    def _uncovered(self, item: Item, reason: str) -> None:
+        """Recorded nowhere else: cover is lost before service is."""
+        self.counts["uncovered"] += 1
+        self.door.note("cover.none", reason=reason)
+        item.sure, item.state = True, State.OWNING
+
+    def _start(self, item: Item) -> None:
+        if item.state is State.OWNING and not item.running:
+            item.running, item.main = True, next(iter(item.clients), None)
+            self.door.decide(item)
+
+    def _give_up(self, item: Item, reason: str) -> None:
+        """At once: nothing was sent for it by us, and whoever has it in hand goes on."""
+        self.counts["given_up"] += 1
+        self.door.note("cover.given_up", reason=reason)
+        self._forget(item)
+        clients, item.clients = item.clients, {}
+        for client in clients:
+            self.door.answer(item, client, Reply(DEFERRED, come_back=COME_BACK * self.longest))
+
+    def _let_go(self, item: Item) -> None:
+        """Hand-offs whose intents all keepers have recorded."""
+        if not item.sure or item.state is not State.OWNING or not item.waiting:
+            return
+        alone = item.adopted and not item.keepers and len(self.view.members) > 1
+        if alone and item.effect != RERUNNABLE:
+            return  # guards against two that each believe they have taken it over
+        least = min(item.keepers.values(), default=inf)
+        for number in [n for n in item.waiting if n < least]:
+            del item.waiting[number]
+            item.let_go = True
+            self.door.go(item, number)
+
+    def _stop_all(self, item: Item) -> None:
+        waiting, item.waiting = item.waiting, {}
+        for number in waiting:
+            item.intents[number].fate = UNSENT
+            self.door.stop(item, number)
+
+    def _kept(self, member: str, kept: Kept) -> None:
+        item = self.items.get(kept.key)
+        if item is None or item.state in (State.DONE, State.KEEPING):
+            return
+        ours = item.state is State.OWNING and item.epoch == kept.epoch and member in item.keepers
+        if kept.verdict == NOTED:
+            if ours and item.unnoted is not None:
+                del item.keepers[member]
+                if not item.keepers:
+                    self._done(item, item.unnoted)
+        elif kept.verdict in (RUNNING, STALE):
+            self._superseded(item, member)
+        elif kept.verdict == ANSWERED and kept.reply is not None:
+            self._stop_all(item)
+            self._done(item, kept.reply)
+        elif kept.verdict == OTHER:
+            self._stop_all(item)
+            self._done(item, Reply(MIXED_UP))
+            self._forget(item)
+        elif kept.verdict == UNKNOWN:
+            if item.state is not State.OWNING and item.at_home == member:
+                self._give_up(item, "home-unreachable")
+        elif kept.verdict in (NEW, KEPT):
+            if item.epoch != kept.epoch or member not in item.keepers:
+                return
+            item.keepers[member] = max(item.keepers[member], kept.upto)
+            if kept.verdict == NEW:
+                item.sure, item.state = True, State.OWNING
+                self._start(item)
+            self._let_go(item)
+        elif kept.verdict in (FULL, STRANGER, MOVED):
+            item.keepers.pop(member, None)
+            if kept.verdict == MOVED:
+                item.at_home = ""  # our views differ: his next one or ours says where
+            elif not item.sure and member == item.at_home:
+                if item.state is State.ASKING and item.effect != RERUNNABLE:
+                    self._give_up(item, kept.verdict)
+                    return
+                self._uncovered(item, kept.verdict)
+                self._start(item)
+            self._let_go(item)
+
+    def _superseded(self, item: Item, member: str) -> None:
+        """Another one acts on it: nothing new from us, and its answer is ours."""
+        self._no_longer_ours(item)
+        item.state, item.at_home = State.JOINED, member
+        if not item.clients and not item.askers:
+            self._forget(item)
+
+    def _no_longer_ours(self, item: Item) -> None:
+        """It has been taken over from us, or was in hand before we asked."""
+        self.counts["superseded"] += item.state is State.OWNING and item.let_go
+        self._stop_all(item)
+        item.unnoted, item.sure, item.repeat = None, False, True
+        item.keepers.clear()
+        if item.main in item.clients:
+            self._remind(item.clients[item.main], item, item.main)
+
+    def _done(self, item: Item, reply: Reply) -> None:
+        item.reply, item.state, item.unnoted = reply, State.DONE, None
+        grown = len(reply.body) - len(item.asked.body)
+        if self.items.get(item.key) is item:
+            self.kept_bytes += grown
+        item.bytes += grown
+        item.asked = NOTHING
+        askers, item.askers = item.askers, {}
+        clients, item.clients = item.clients, {}
+        for member in askers:
+            self.door.say(member, Answered(item.key, item.epoch, reply))
+        for client in clients:
+            self.door.answer(item, client, reply)
+        if self._free(item):
+            self._forget(item)
+
+    def _tell_keepers(self, item: Item, reply: Reply) -> None:
+        for member in item.keepers:
+            self.door.say(member, Answered(item.key, item.epoch, reply))
+
+    # The keeper's part.
+
+    def _covered(self, member: str, told: Cover) -> None:
+        item = self.items.get(told.key)
+        if told.owner != member:
+            self._orphan(told)
+            return
+        if member not in self.view:
+            self._say_kept(member, told, STRANGER)
+            return
+        if not self.now - 4 * self.longest <= told.at <= told.until <= self.now + 2 * self.longest:
+            # Guards against clocks that differ too much, and against records that are never over.
+            self._say_kept(member, told, FULL)
+            return
+        if item is not None and self._free(item):
+            self._forget(item)
+            item = None
+        unsure = item is not None and not item.sure and item.state in UNSURE
+        if told.asks and self.view.home(told.key) != self.me and (item is None or unsure):
+            self._say_kept(member, told, MOVED)
+            return
+        if told.asks and not told.granted and (item is None or unsure) and not self._steady(told.key):
+            self.held.append((member, told))
+            return
+        granted = NEW if told.asks else KEPT
+        if item is None:
+            if self.kept_bytes > self.room:
+                self._say_kept(member, told, FULL)
+                return
+            self._add(Item(told, State.KEEPING))
+            self.counts["kept"] += 1
+            self._say_kept(member, told, granted)
+        elif item.mark != told.mark:
+            self._say_kept(member, told, OTHER)
+        elif item.state is State.DONE:
+            self._say_kept(member, told, ANSWERED, item.reply)
+        elif (item.state is State.KEEPING and item.owner == member and told.epoch >= item.epoch) or (
+            told.epoch > item.epoch or (unsure and told.granted)
+        ):
+            self._no_longer_ours(item)
+            item.state, item.at_home = State.KEEPING, ""
+            self._merge(item, told)
+            self._say_kept(member, told, granted)
+        else:
+            item.askers[member] = None
+            self._say_kept(member, told, RUNNING)
+
+    def _merge(self, item: Item, told: Cover) -> None:
+        """The history as both know it: an intent recorded anywhere counts."""
+        item.owner, item.epoch, item.until = told.owner, told.epoch, max(item.until, told.until)
+        item.asked = told.asked
+        both = list(told.intents)
+        for number, intent in enumerate(item.intents):
+            if number >= len(both):
+                both.append(intent)
+            elif intent.fate and not both[number].fate:
+                both[number].fate = intent.fate
+        item.intents = both
+
+    def _say_kept(self, member: str, told: Cover, verdict: str, reply: Reply | None = None) -> None:
+        self.door.say(member, Kept(told.key, told.epoch, verdict, len(told.intents), reply))
+
+    def _find(self, member: str, key: bytes, mark: bytes) -> None:
+        item = self.items.get(key)
+        verdict, reply = UNKNOWN, None
+        if item is not None and item.state in (State.OWNING, State.KEEPING, State.DONE):
+            verdict = RUNNING
+            if item.mark != mark:
+                verdict = OTHER
+            elif item.state is State.DONE:
+                verdict, reply = ANSWERED, item.reply
+            else:
+                item.askers[member] = None
+        self.door.say(member, Kept(key, 0, verdict, 0, reply))
+
+    def _intends(self, member: str, key: bytes, epoch: int, number: int, intent: Intent) -> None:
+        item = self.items.get(key)
+        if item is None:
+            return  # what was said of it was turned away, or is over
+        if item.state is State.DONE:
+            self.door.say(member, Kept(key, epoch, ANSWERED, 0, item.reply))
+        elif item.state is not State.KEEPING or (item.owner, item.epoch) != (member, epoch):
+            item.askers[member] = None
+            self.door.say(member, Kept(key, epoch, STALE))
+        elif 0 <= number <= len(item.intents):
+            item.intents[number:] = [intent]
+            self.door.say(member, Kept(key, epoch, KEPT, number + 1))
+
+    def _answered(self, member: str, key: bytes, epoch: int, reply: Reply) -> None:
+        item = self.items.get(key)
+        noted = Kept(key, epoch, NOTED)
+        if item is None or item.state is State.DONE:
+            self.door.say(member, noted)
+        elif item.state is State.KEEPING and (item.owner, item.epoch) == (member, epoch):
+            self._done(item, reply)
+            self.door.say(member, noted)
+        elif item.state in (State.JOINED, State.ASKING):
+            self._done(item, reply)
+        elif reply.status == FINISHED:
+            # Its former owner was only cut off, and a hand-off that was granted to it has finished it.
+            if item.state is State.OWNING:
+                self._stop_all(item)
+                self._tell_keepers(item, reply)
+            self._done(item, reply)
+        else:
+            item.askers[member] = None
+            self.door.say(member, Kept(key, epoch, STALE))
+
+    # Owners lost, keepers lost, views.
+
+    def _place(self, item: Item) -> None:
+        """After a change of the view or of a link: whoever has to know of an item knows."""
+        home = self.view.home(item.key)
+        if item.state is State.OWNING:
+            for member in [m for m in item.keepers if m not in self.view]:
+                del item.keepers[member]
+            if item.unnoted is not None:
+                if not item.keepers:
+                    self._done(item, item.unnoted)
+                return
+            item.sure = item.sure or (home == self.me and self._steady(item.key))
+            self._cover_by_all(item)
+            if not item.keepers and not item.sure and home not in ("", self.me):
+                self._uncovered(item, "keepers-lost")
+            self._let_go(item)
+        elif item.state is State.KEEPING and item.owner not in self.links:
+            # A member whose lease has ended but that we still hear goes on with what it owns.
+            if self.view.home(item.key, but=item.owner) == self.me:
+                self._take_over(item)
+            elif item.owner not in self.view and home in self.links:
+                self.door.say(home, item.cover(asks=False))
+        elif item.state in (State.ASKING, State.JOINED):
+            lost = item.at_home not in self.links
+            if lost or (item.state is State.ASKING and item.at_home != home and home in self.links):
+                item.keepers.clear()
+                item.state = State.ASKING
+                self._seek(item)
+                self._start(item)
+
+    def _take_over(self, item: Item) -> None:
+        if not self.may_decide():
+            self.counts["not_sure"] += 1
+            return
+        former, item.owner = item.owner, self.me
+        item.epoch += 1
+        item.state, item.sure, item.adopted = State.OWNING, True, True
+        self.counts["taken_over"] += 1
+        left = round(item.until - self.now, 3)
+        told = {
+            "category": item.category,
+            "may_have_run": sum(not i.fate for i in item.intents),
+            "left": left,
+        }
+        self.door.note("cover.taken_over", former=former, **told)
+        self._cover_by_all(item)
+        if left <= 0:
+            self._tell_keepers(item, Reply(WRITTEN_OFF))
+            self._done(item, Reply(WRITTEN_OFF))
+            return
+        self._start(item)
+
+    def _orphan(self, told: Cover) -> None:
+        """Another keeper's record of what a lost member owned; we are its home."""
+        if told.owner in self.links or self.view.home(told.key) != self.me:
+            return
+        item = self.items.get(told.key)
+        if item is None:
+            item = self._add(Item(told, State.KEEPING))
+        elif item.state in UNSURE and not item.sure:
+            self._no_longer_ours(item)
+            item.state = State.KEEPING
+            self._merge(item, told)
+        elif item.state is State.KEEPING and item.epoch <= told.epoch:
+            self._merge(item, told)
+        self._place(item)
+
+    def may_decide(self) -> bool:
+        """We are in the view that holds, as far as can be known.
+
+        By our lease; past it, while more than half of the members are heard under the same view: guards
+        against losing all cover while the arbiter is gone, and against deciding alone while cut off.
+        """
+        if self.now < self.lease_until:
+            return True
+        since = self.now - RECENT * self.longest
+        heard = (beat for member, (at, beat) in self.beats.items() if member in self.view and at > since)
+        return 2 * (1 + sum(beat.view == self.view.digest for beat in heard)) > len(self.view.members)
+
+    def _steady(self, key: bytes) -> bool:
+        """No other member can have granted that name: we were its home all along, or all have told."""
+        return self.may_decide() and self.settled and all(view.home(key) == self.me for view in self.lately)
+
+    def _perhaps_settled(self) -> None:
+        """All have told us what they own under this view, or it is over."""
+        if not self.view.members:
+            return
+        # Also those that we have a link to though their lease has ended: guards against a view without
+        # members that live and own, after the arbiter was gone.
+        need = {*self.view.members, *self.links} - {self.me}
+        told = all(self.told.get(member) == self.view.digest for member in need)
+        if not told and self.now < self.view_at + self.longest:
+            return
+        self.lately, self.settled = [self.view], True
+        held, self.held = self.held, []
+        for item in list(self.items.values()):
+            if item.sure or self.view.home(item.key) != self.me or not self._steady(item.key):
+                continue
+            if item.state is State.ASKING or item.state is State.OWNING:
+                self._own(item)
+                self._start(item)
+                self._let_go(item)
+        for member, cover in held:
+            self._covered(member, cover)
--- /dev/null
+++ b/starlingwheel/fleet/frames.py
@@ -0,0 +1,135 @@
+"""What sidecars of one fleet say to each other about covered work. MessagePack arrays, by msgspec.
+
+Times are seconds on the wall clock, which all machines of a fleet share but for a few milliseconds.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+VERSION = 1
+LONGEST = 1 << 18  # bytes of one frame: a body and an answer are 64 KiB at most
+
+
+class Asked(msgspec.Struct, array_like=True, frozen=True):
+    """A request as its client sent it."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    trace: bytes
+
+
+class Intent(msgspec.Struct, array_like=True):
+    """One hand-off that its owner means to make, or has made. No fate: it may have run."""
+
+    upstream: str
+    zone: str
+    cell: int
+    at: float
+    fate: str = ""
+
+
+class Reply(msgspec.Struct, array_like=True, frozen=True):
+    """A final answer: a status of ours, and the body and its kind where it is 200."""
+
+    status: int
+    come_back: float = 0.0
+    kind: bytes = b""
+    body: bytes = b""
+
+
+class Hello(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    fleet: str
+    version: int
+    member: str
+
+
+class Beat(msgspec.Struct, array_like=True, tag=2, frozen=True):
+    """Said when nothing else is: alive, under that view; `lapsed`: not sure of its lease."""
+
+    view: int
+    lapsed: bool
+
+
+class Told(msgspec.Struct, array_like=True, tag=3, frozen=True):
+    """All that concerns you under that view has been said; nothing more is granted under an older one."""
+
+    view: int
+
+
+class Cover(msgspec.Struct, array_like=True, tag=4, frozen=True):
+    """A work item in hand, with its history. `asks`: say whether it is new; else it is only to be kept.
+
+    `granted`: its owner has been told before that it is new, perhaps by a home that is lost.
+    """
+
+    key: bytes
+    owner: str
+    epoch: int
+    asks: bool
+    mark: bytes
+    category: str
+    effect: str
+    at: float
+    until: float
+    repeat: bool
+    asked: Asked
+    intents: list[Intent]
+    granted: bool = False
+
+
+class Find(msgspec.Struct, array_like=True, tag=5, frozen=True):
+    """Does anybody act on this? Asked of who would take over, where the home can't be reached."""
+
+    key: bytes
+    mark: bytes
+
+
+class Intend(msgspec.Struct, array_like=True, tag=6, frozen=True):
+    key: bytes
+    epoch: int
+    number: int
+    intent: Intent
+
+
+class Ended(msgspec.Struct, array_like=True, tag=7, frozen=True):
+    """That hand-off is known never to have run."""
+
+    key: bytes
+    epoch: int
+    number: int
+    fate: str
+
+
+class Answered(msgspec.Struct, array_like=True, tag=8, frozen=True):
+    key: bytes
+    epoch: int
+    reply: Reply
+
+
+class Kept(msgspec.Struct, array_like=True, tag=9, frozen=True):
+    """The word of a keeper. `upto`: so many intents are recorded."""
+
+    key: bytes
+    epoch: int
+    verdict: str
+    upto: int = 0
+    reply: Reply | None = None
+
+
+# What `Kept.verdict` says.
+NEW = "new"  # nobody else acts on it: you do
+KEPT = "kept"  # recorded; who else acts is not known here
+RUNNING = "running"  # another one acts on it; its answer will come
+ANSWERED = "answered"  # here is its final answer
+OTHER = "other"  # that name stands for another request
+STALE = "stale"  # another one has taken it over from you
+MOVED = "moved"  # its home is elsewhere, as seen from here
+STRANGER = "stranger"  # the asker is not in the view that holds here
+UNKNOWN = "unknown"  # to `Find`: nothing is known of it here
+FULL = "full"  # no room to keep it
+NOTED = "noted"  # the final answer is recorded
+
+Frame = Hello | Beat | Told | Cover | Find | Intend | Ended | Answered | Kept
--- /dev/null
+++ b/starlingwheel/fleet/part.py
@@ -0,0 +1,102 @@
+"""The `fleet` part of the configuration: what it may say, and all that is wrong with one at once."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+LONGEST_NAME = 64
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
+HEADER = re.compile(r"[a-z0-9-]+")
+LEASE = (1, 60)  # whole seconds: an arbiter keeps no finer ones
+KEEPERS = (1, 3)
+
+
+class CoverPart(msgspec.Struct, frozen=True):
+    categories: list[str]
+    name_header: str = "x-work-name"
+    keepers: int = 1
+
+
+class FleetPart(msgspec.Struct, frozen=True):
+    """`name`: which fleet. `listen`: for links. `advertise`: where others reach that, if elsewhere."""
+
+    name: str
+    listen: str
+    arbiter: list[str]
+    cover: CoverPart
+    advertise: str = ""
+    lease_s: int = 3
+
+
+KEYS = {
+    "": {"name", "listen", "arbiter", "advertise", "lease_s", "cover"},
+    "cover.": {"categories", "name_header", "keepers"},
+}
+
+
+def decode(given: Any, categories: list[str], streams: int) -> FleetPart:
+    """Raises `ValueError` that names every fault with its key. `categories`: those of the settings."""
+    if faults := list(_faults(given, categories, streams)):
+        raise ValueError("; ".join(faults))
+    return msgspec.convert(given, FleetPart)
+
+
+def _faults(given: Any, categories: list[str], streams: int) -> Iterator[str]:
+    if not isinstance(given, dict):
+        yield "fleet: not an object"
+        return
+    yield from _unknown(given, "")
+    name = given.get("name")
+    if not isinstance(name, str) or not NAME.fullmatch(name) or len(name) > LONGEST_NAME:
+        yield f"fleet.name: {name!r} is no name of letters, digits, dots and dashes"
+    yield from _address(given.get("listen"), "fleet.listen")
+    if given.get("advertise"):
+        yield from _address(given["advertise"], "fleet.advertise")
+    arbiter = given.get("arbiter")
+    if not isinstance(arbiter, list) or not arbiter:
+        yield "fleet.arbiter: not a list of addresses"
+    else:
+        for place, address in enumerate(arbiter):
+            yield from _address(address, f"fleet.arbiter[{place}]")
+    yield from _whole(given.get("lease_s", 3), "fleet.lease_s", LEASE)
+    yield from _cover(given.get("cover"), categories, streams)
+
+
+def _cover(given: Any, categories: list[str], streams: int) -> Iterator[str]:
+    if not isinstance(given, dict):
+        yield "fleet.cover: not an object"
+        return
+    yield from _unknown(given, "cover.")
+    covered = given.get("categories")
+    if not isinstance(covered, list) or not covered:
+        yield "fleet.cover.categories: not a list of categories"
+    else:
+        for place, name in enumerate(covered):
+            if name not in categories:
+                yield f"fleet.cover.categories[{place}]: {name!r} is no category of the settings"
+    header = given.get("name_header", "x-work-name")
+    if not isinstance(header, str) or not HEADER.fullmatch(header):
+        yield f"fleet.cover.name_header: {header!r} is no header's name in small letters"
+    yield from _whole(given.get("keepers", 1), "fleet.cover.keepers", KEEPERS)
+    if streams > 1:
+        yield "fleet.cover: no hand-off can be held back where settings.caps.streamsPerConn is more than 1"
+
+
+def _unknown(given: dict[str, Any], table: str) -> Iterator[str]:
+    for key in sorted(set(given) - KEYS[table]):
+        yield f"fleet.{table}{key}: unknown; known are {', '.join(sorted(KEYS[table]))}"
+
+
+def _address(given: Any, key: str) -> Iterator[str]:
+    host, _, port = given.rpartition(":") if isinstance(given, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        yield f"{key}: {given!r} is no host:port"
+
+
+def _whole(given: Any, key: str, bounds: tuple[int, int]) -> Iterator[str]:
+    if type(given) is not int or not bounds[0] <= given <= bounds[1]:
+        yield f"{key}: {given!r} is no whole number from {bounds[0]} to {bounds[1]}"
--- /dev/null
+++ b/starlingwheel/net/fleet/arbiter.py
@@ -0,0 +1,361 @@
+"""The arbiter's client: etcd through the JSON gateway of its v3 API, over HTTP/1.1.
+
+Keys and values are in base64, 64-bit numbers are strings, what is zero or false is left out. Two actors:
+`Lessee` holds our lease and our entry, `Onlooker` follows who is in. Neither is part of the ordinary path:
+while the arbiter is gone, slow or talks nonsense, they try again at growing pauses, and all goes on under the
+last view.
+"""
+
+from __future__ import annotations
+
+import random
+from base64 import b64decode, b64encode
+from collections import Counter
+from collections.abc import Callable
+from math import inf
+from typing import Any
+
+import h11
+import msgspec
+
+from ...fleet.view import Member, View
+from ..actor import Actor, Coroutine
+from ..loop import READ, WRITE, Loop, Ready
+from ..memory.buffers import Pool
+from ..wire.http import Lost, Stream, connect
+from .mail import Lapsed, Renewed, Viewed
+
+WITHIN = 1 / 3  # of the lease within which a call is answered, or given up
+RENEW = 1 / 3  # of the lease after which it is renewed
+PAUSES = (0.05, 1.0)  # seconds before the next try: the first, and where the doubling ends
+LONGEST = 1 << 20  # bytes of one answer
+LINE = 1 << 18  # bytes of one line of a watch
+MOST = 1000  # members that are believed
+QUIET = 3.0  # leases without a word after which a watch is begun anew
+RANGE, TXN, WATCH = "/v3/kv/range", "/v3/kv/txn", "/v3/watch"
+GRANT, KEEPALIVE, REVOKE = "/v3/lease/grant", "/v3/lease/keepalive", "/v3/lease/revoke"
+
+
+class Unfit(Exception):
+    """An answer that is none, or a no; the text is its reason code."""
+
+
+class Header(msgspec.Struct):
+    revision: str = "0"
+
+
+class Pair(msgspec.Struct):
+    key: str = ""
+    value: str = ""
+    create_revision: str = "0"
+    mod_revision: str = "0"
+
+
+class Ranged(msgspec.Struct):
+    header: Header
+    kvs: list[Pair] = []
+    count: str = "0"
+
+
+class Granted(msgspec.Struct):
+    ID: str
+    TTL: str = "0"
+
+
+class Kept(msgspec.Struct):
+    result: Granted
+
+
+class Decided(msgspec.Struct):
+    header: Header
+    succeeded: bool = False
+
+
+class Event(msgspec.Struct):
+    kv: Pair
+    type: str = "PUT"
+
+
+class Seen(msgspec.Struct):
+    header: Header | None = None
+    events: list[Event] = []
+    created: bool = False
+    canceled: bool = False
+    compact_revision: str = "0"
+
+
+class Line(msgspec.Struct):
+    result: Seen
+
+
+def b64(text: str | bytes) -> str:
+    return b64encode(text.encode() if isinstance(text, str) else text).decode()
+
+
+def after(prefix: str) -> str:
+    """The end of the range of all keys that begin with a prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def number(text: str) -> int:
+    if not text.isdigit() or len(text) > 19:
+        raise Unfit("no-number")
+    return int(text)
+
+
+def read(data: bytes, kind: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise Unfit("unreadable") from error
+
+
+class Speaker(Actor):
+    """What both have in common: calls over one kept connection, and pauses between tries."""
+
+    lasting = True
+
+    def __init__(
+        self,
+        loop: Loop,
+        addresses: list[str],
+        lease: float,
+        pool: Pool,
+        log: Callable[..., None],
+        chance: random.Random,
+    ) -> None:
+        self.addresses, self.lease, self.pool, self.log, self.chance = addresses, lease, pool, log, chance
+        self.stream: Stream | None = None
+        self.turn, self.pause = 0, 0.0
+        self.reasons: Counter[str] = Counter()
+        self.at = ""
+        super().__init__(loop)
+
+    def run(self) -> Coroutine[None]:
+        while True:
+            try:
+                yield from self.work()
+            except (Lost, Unfit) as error:
+                self.hang_up()
+                self.reasons[str(error)] += 1
+                if not self.pause and str(error) != "quiet":
+                    self.log("arbiter.failed", reason=str(error), address=self.at, actor=type(self).__name__)
+                self.turn += 1  # another one may be up
+                self.pause = min(max(2 * self.pause, PAUSES[0]), PAUSES[1])
+                yield from self.wait(self.loop.now() + self.pause * (0.5 + self.chance.random()))
+
+    def work(self) -> Coroutine[None]:
+        """One stay; ends by `Lost` or `Unfit`."""
+        raise NotImplementedError
+
+    def well(self) -> None:
+        if self.pause:
+            self.log("arbiter.back", address=self.at, actor=type(self).__name__)
+        self.pause = 0.0
+
+    def hang_up(self) -> None:
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
+
+    def wait(self, until: float) -> Coroutine[None]:
+        while self.loop.now() < until:
+            mail = yield until
+            if isinstance(mail, Lapsed):
+                raise Unfit("entry-gone")
+            if isinstance(mail, Ready) and self.stream is not None:
+                # Nothing was asked for: it has ended.
+                self.hang_up()
+
+    def _ready(self, until: float, late: str = "slow") -> Coroutine[None]:
+        while True:
+            mail = yield until
+            if isinstance(mail, Ready):
+                return
+            if isinstance(mail, Lapsed):
+                raise Unfit("entry-gone")
+            if self.loop.now() >= until:
+                raise Lost(late)
+
+    def ask(self, path: str, body: dict[str, Any], until: float) -> Coroutine[None]:
+        """Send a call; what follows is its answer."""
+        if self.stream is None or not self.stream.silent():
+            self.hang_up()
+            self.at = self.addresses[self.turn % len(self.addresses)]
+            self.stream = Stream(self.loop, self, connect(self.at), h11.CLIENT, self.pool)
+            self.stream.want(WRITE)
+            yield from self._ready(until)
+            self.stream.came_up()
+        data = msgspec.json.encode(body)
+        headers = [
+            (b"Host", self.at.encode()),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(data)).encode()),
+        ]
+        request = h11.Request(method=b"POST", target=path.encode(), headers=headers)
+        self.stream.put(request, h11.Data(data=data), h11.EndOfMessage())
+        while not self.stream.write():
+            self.stream.want(WRITE)
+            yield from self._ready(until)
+        self.stream.want(READ)
+
+    def event(self, until: float, late: str = "slow") -> Coroutine[Any]:
+        """The next piece of an answer."""
+        while True:
+            event = self.stream.event()
+            if event is not h11.NEED_DATA:
+                if isinstance(event, h11.ConnectionClosed):
+                    raise Lost("closed")
+                return event
+            yield from self._ready(until, late)
+            self.stream.read()
+
+    def call(self, path: str, body: dict[str, Any], kind: type[Any]) -> Coroutine[Any]:
+        """One call and its whole answer, read as `kind`."""
+        until = self.loop.now() + WITHIN * self.lease
+        yield from self.ask(path, body, until)
+        status, data = 0, b""
+        while True:
+            event = yield from self.event(until)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                data += bytes(event.data)
+                if len(data) > LONGEST:
+                    raise Unfit("endless")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+        if self.stream.http.our_state is h11.DONE and self.stream.http.their_state is h11.DONE:
+            self.stream.http.start_next_cycle()
+        else:
+            self.hang_up()
+        if status != 200:
+            raise Unfit(f"answered-{status}")
+        return read(data, kind)
+
+
+class Lessee(Speaker):
+    """Holds a lease and, under it, our entry among the members."""
+
+    def __init__(self, *given: Any, fleet: str, member: Member, tell: Callable[[Any], None]) -> None:
+        super().__init__(*given)
+        self.fleet, self.member, self.tell = fleet, member, tell
+        self.id = ""
+
+    def work(self) -> Coroutine[None]:
+        asked = self.loop.now()
+        granted = yield from self.call(GRANT, {"TTL": str(int(self.lease))}, Granted)
+        self.id, seconds = granted.ID, number(granted.TTL)
+        put = {
+            "key": b64(f"/{self.fleet}/members/{self.member.id}"),
+            "value": b64(msgspec.json.encode(self.member)),
+            "lease": self.id,
+        }
+        yield from self.call(TXN, {"compare": [], "success": [{"request_put": put}]}, Decided)
+        self.log("arbiter.entered", member=self.member.id, lease_s=seconds)
+        held = asked
+        while True:
+            self.tell(Renewed(held + seconds))
+            self.well()
+            yield from self.wait(held + RENEW * seconds)
+            while True:
+                asked = self.loop.now()
+                try:
+                    kept = yield from self.call(KEEPALIVE, {"ID": self.id}, Kept)
+                    break
+                except (Lost, Unfit) as error:
+                    self.hang_up()
+                    if str(error) == "entry-gone" or self.loop.now() >= held + seconds:
+                        raise
+                    # The lease may well hold: its renewal is asked for again before a new one is.
+                    self.reasons[str(error)] += 1
+                    self.turn += 1
+                    yield from self.wait(self.loop.now() + PAUSES[0])
+            held, seconds = asked, number(kept.result.TTL)
+            if not seconds:
+                self.tell(Renewed(-inf))
+                raise Unfit("lease-ended")
+
+
+class Onlooker(Speaker):
+    """Follows the members: the whole set, then each change of it, in order."""
+
+    def __init__(self, *given: Any, fleet: str, member: Member, tell: Callable[[Any], None]) -> None:
+        super().__init__(*given)
+        self.prefix, self.member, self.tell = f"/{fleet}/members/", member, tell
+        self.members: dict[str, Member] = {}
+        self.revision = 0  # up to which all changes are known; 0: none is
+
+    def work(self) -> Coroutine[None]:
+        reach = {"key": b64(self.prefix), "range_end": b64(after(self.prefix))}
+        if not self.revision:
+            ranged = yield from self.call(RANGE, reach, Ranged)
+            if len(ranged.kvs) > MOST:
+                raise Unfit("too-many")
+            self.members = {}
+            for pair in ranged.kvs:
+                self._put(pair)
+            self.revision = number(ranged.header.revision)
+            self._say(gap=True)
+        # From where we were: guards against changes that nobody tells.
+        create = {"create_request": reach | {"start_revision": str(self.revision + 1)}}
+        yield from self.ask(WATCH, create, self.loop.now() + WITHIN * self.lease)
+        line, status = b"", 0
+        while True:
+            event = yield from self.event(self.loop.now() + QUIET * self.lease, "quiet")
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                if status != 200:
+                    raise Unfit(f"answered-{status}")
+            elif isinstance(event, h11.Data):
+                *whole, line = (line + bytes(event.data)).split(b"\n")
+                if len(line) > LINE:
+                    raise Unfit("endless")
+                for text in whole:
+                    if text.strip():
+                        self._seen(read(text, Line).result)
+            elif isinstance(event, h11.EndOfMessage):
+                raise Lost("watch-ended")
+
+    def _seen(self, seen: Seen) -> None:
+        if seen.canceled:
+            self.revision = 0
+            raise Unfit("compacted" if seen.compact_revision != "0" else "canceled")
+        self.well()
+        last = ""
+        for event in seen.events:
+            if last and event.kv.mod_revision != last:
+                self._say(gap=False)  # each change by itself: a view between may have been somebody's
+            last = event.kv.mod_revision
+            self.revision = max(self.revision, number(last))
+            if event.type == "DELETE":
+                self.members.pop(self._key(event.kv), None)
+            else:
+                self._put(event.kv)
+        if seen.events:
+            self._say(gap=False)
+
+    def _key(self, pair: Pair) -> str:
+        try:
+            key = b64decode(pair.key, validate=True).decode()
+        except ValueError as error:
+            raise Unfit("unreadable") from error
+        if not key.startswith(self.prefix):
+            raise Unfit("not-asked-for")
+        return key.removeprefix(self.prefix)
+
+    def _put(self, pair: Pair) -> None:
+        key = self._key(pair)
+        try:
+            member = msgspec.json.decode(b64decode(pair.value, validate=True), type=Member)
+        except (msgspec.DecodeError, ValueError):
+            member = None
+        if member is None or member.id != key:
+            # One entry that nobody can read does not hide the others.
+            self.log("arbiter.entry", key=key, reason="unreadable")
+            self.members.pop(key, None)
+            return
+        self.members[key] = msgspec.structs.replace(member, term=number(pair.create_revision))
+
+    def _say(self, gap: bool) -> None:
+        self.tell(Viewed(View(self.members.values()), gap))
--- /dev/null
+++ b/starlingwheel/net/fleet/links.py
@@ -0,0 +1,308 @@
+"""Links between sidecars: one kept TCP connection a pair, frames of MessagePack behind their length.
+
+What can't be read, is too long, of another version or fleet, or from a stranger ends the link with a reason
+code.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from ...fleet.frames import LONGEST, VERSION, Beat, Frame, Hello
+from ...fleet.view import View
+from ..actor import Actor, Coroutine
+from ..loop import READ, WRITE, Loop, Ready
+from ..mail import CLOSE
+from ..wire.address import split
+from .mail import Framed, LinkDown, LinkUp, Say, Viewed
+
+BEAT = 0.1  # seconds between words when there is nothing else to say
+SILENCE = 3.0  # times that without a byte after which a link counts as lost
+GREETING = 1.0  # seconds within which a link comes up and both have said who they are
+PAUSE = (0.02, 0.5)  # seconds before a link is tried again: the first, and where the doubling ends
+UNSENT = 8 * LONGEST  # bytes that wait for a slow member, at most
+MOST = 64  # links that have not said yet whose they are
+CHUNK = 65536
+HEAD = 4  # bytes of a length
+
+encoder = msgspec.msgpack.Encoder()
+decoder = msgspec.msgpack.Decoder(Frame)
+
+
+class Refused(Exception):
+    """A link that ends; the text is its reason code."""
+
+
+def framed(frame: Frame) -> bytes:
+    body = encoder.encode(frame)
+    return len(body).to_bytes(HEAD, "big") + body
+
+
+class Reader:
+    """Bytes into frames. Raises `Refused` for what is no frame of ours."""
+
+    def __init__(self) -> None:
+        self.held = bytearray()
+
+    def read(self, data: bytes) -> list[Frame]:
+        self.held += data
+        frames = []
+        while len(self.held) >= HEAD:
+            length = int.from_bytes(self.held[:HEAD], "big")
+            if not 0 < length <= LONGEST:
+                raise Refused("too-long" if length else "empty")
+            if len(self.held) < HEAD + length:
+                break
+            try:
+                frames.append(decoder.decode(bytes(self.held[HEAD : HEAD + length])))
+            except (msgspec.DecodeError, UnicodeDecodeError, ValueError, OverflowError) as error:
+                raise Refused("unreadable") from error
+            del self.held[: HEAD + length]
+        return frames
+
+
+class Links(Actor):
+    """Listens, and keeps a link to each member of the view whose id is greater than ours."""
+
+    lasting = True
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        me: Hello,
+        tell: Callable[[Any], None],
+        beat: Callable[[], Beat],
+        log: Callable[..., None],
+        chance: random.Random,
+    ) -> None:
+        """`tell` takes mail for who decides; `beat` says what to say when there is nothing else."""
+        self.sock, self.me, self.tell, self.beat, self.log, self.chance = sock, me, tell, beat, log, chance
+        self.source = sock.getsockname()[0]
+        self.view = View()
+        self.links: dict[str, Link] = {}  # those that have said whose they are
+        self.new: dict[Link, None] = {}  # those that have not
+        self.calling: dict[str, tuple[float, float]] = {}  # when to try each again, and the pause after that
+        self.reasons: Counter[str] = Counter()
+        sock.setblocking(False)
+        loop.watch(sock.fileno(), self, READ)
+        super().__init__(loop)
+
+    def run(self) -> Coroutine[None]:
+        while True:
+            mail = yield min((at for at, _ in self.calling.values()), default=None)
+            if isinstance(mail, Ready):
+                self._accept()
+            elif isinstance(mail, Viewed):
+                self.view = mail.view
+                wanted = {m for m in self.view.members if m > self.me.member} - set(self.links)
+                self.calling = {m: self.calling.get(m, (self.loop.now(), PAUSE[0])) for m in wanted}
+            self._call()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(BlockingIOError, OSError):
+            while True:
+                sock, _ = self.sock.accept()
+                if len(self.new) >= MOST:
+                    # Guards against strangers that say nothing keeping out members.
+                    next(iter(self.new)).post(CLOSE)
+                Link(self, sock, "").begin()
+
+    def _call(self) -> None:
+        now = self.loop.now()
+        for member, (at, pause) in list(self.calling.items()):
+            if at > now:
+                continue
+            self.calling[member] = (now + GREETING + pause, min(2 * pause, PAUSE[1]))
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            try:
+                # From the address that we listen on: others tell links apart by it.
+                sock.bind((self.source, 0))
+                with contextlib.suppress(BlockingIOError):
+                    sock.connect(split(self.view.members[member].address))
+            except (OSError, ValueError, OverflowError) as error:
+                sock.close()
+                self.lost(None, member, f"refused: {error}")
+                continue
+            Link(self, sock, member).begin()
+
+    # What links say.
+
+    def named(self, link: Link, hello: Hello) -> str:
+        """Whose it is; raises `Refused` for whom we have no link with."""
+        if hello.fleet != self.me.fleet:
+            raise Refused("other-fleet")
+        if hello.version != self.me.version:
+            raise Refused("other-version")
+        if link.member and hello.member != link.member:
+            raise Refused("not-who-was-called")
+        if not link.member and not hello.member < self.me.member:
+            raise Refused("wrong-way")
+        if hello.member not in self.view:
+            # It may be in a view that we have not seen yet; it calls again.
+            raise Refused("stranger")
+        return hello.member
+
+    def up(self, link: Link) -> None:
+        before = self.links.get(link.member)
+        self.new.pop(link, None)
+        self.links[link.member] = link
+        self.calling.pop(link.member, None)
+        if before is not None:
+            before.post(CLOSE)
+            self.tell(LinkDown(link.member, before))
+        self.log("link.up", member=link.member)
+        self.tell(LinkUp(link.member, link))
+
+    def lost(self, link: Link | None, member: str, reason: str) -> None:
+        self.reasons[reason] += 1
+        if link is not None:
+            self.new.pop(link, None)
+        if link is not None and self.links.get(member) is link:
+            del self.links[member]
+            self.log("link.down", member=member, reason=reason)
+            self.tell(LinkDown(member, link))
+        elif reason not in ("refused", "never-came-up", "stranger"):
+            self.log("link.refused", member=member, reason=reason)
+        if member > self.me.member and member in self.view and member not in self.links:
+            _, pause = self.calling.get(member, (0.0, PAUSE[0]))
+            self.calling[member] = (self.loop.now() + pause * (0.5 + self.chance.random()), pause)
+            self.post(None)  # it waits for a time anew
+
+
+class Link(Actor):
+    """One connection to a member, from its first byte to its end."""
+
+    urgent = True
+    at_once = 32
+
+    def __init__(self, links: Links, sock: socket.socket, member: str) -> None:
+        self.links, self.sock, self.member = links, sock, member
+        self.called = bool(member)
+        self.reader = Reader()
+        self.unsent = bytearray()
+        self.mask = 0
+        self.heard = self.said = 0.0
+        self.over = False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        links.new[self] = None
+        super().__init__(links.loop)
+
+    def run(self) -> Coroutine[None]:
+        reason = "stopped"
+        try:
+            yield from self._greet()
+            self.links.up(self)
+            yield from self._talk()
+        except Refused as refused:
+            reason = str(refused)
+        except OSError:
+            reason = "reset"
+        except Exception:
+            reason = "defect"
+            raise
+        finally:
+            self.over = True
+            self.loop.forget(self.sock.fileno())
+            self.sock.close()
+            self.links.lost(self, self.member, reason)
+
+    def _greet(self) -> Coroutine[None]:
+        until = self.loop.now() + GREETING
+        if self.called:
+            self._want(WRITE)
+            if (yield until) is None:
+                raise Refused("never-came-up")
+            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                raise Refused("refused")
+        self._send(framed(self.links.me))
+        self._want(READ)
+        while True:
+            mail = yield until
+            if mail is CLOSE:
+                raise Refused("not-needed")
+            if mail is None and self.loop.now() >= until:
+                raise Refused("no-greeting")
+            if not isinstance(mail, Ready):
+                continue
+            for number, frame in enumerate(frames := self._receive()):
+                if number == 0:
+                    if not isinstance(frame, Hello):
+                        raise Refused("no-greeting")
+                    self.member = self.links.named(self, frame)
+            if frames:
+                # Only the greeting comes before both know each other.
+                self.early = frames[1:]
+                return
+
+    def _talk(self) -> Coroutine[None]:
+        self.heard = self.said = self.loop.now()
+        self._take(self.early)
+        while True:
+            now = self.loop.now()
+            if now >= self.heard + SILENCE * BEAT:
+                raise Refused("silent")
+            if now >= self.said + BEAT:
+                self._send(framed(self.links.beat()))
+            mail = yield min(self.said + BEAT, self.heard + SILENCE * BEAT)
+            if isinstance(mail, Say):
+                self._send(mail.data)
+            elif isinstance(mail, Ready):
+                if mail.mask & WRITE:
+                    self._flush()
+                if mail.mask & ~WRITE:
+                    self._take(self._receive())
+            elif mail is CLOSE:
+                raise Refused("replaced")
+
+    def _take(self, frames: list[Frame]) -> None:
+        for frame in frames:
+            if isinstance(frame, Hello):
+                raise Refused("greeted-twice")
+            self.links.tell(Framed(self.member, frame))
+
+    def _receive(self) -> list[Frame]:
+        try:
+            data = self.sock.recv(CHUNK)
+        except BlockingIOError:
+            return []
+        if not data:
+            raise Refused("closed")
+        self.heard = self.loop.now()
+        return self.reader.read(data)
+
+    def _send(self, data: bytes) -> None:
+        self.said = self.loop.now()
+        self.unsent += data
+        if len(self.unsent) > UNSENT:
+            raise Refused("too-slow")
+        self._flush()
+
+    def _flush(self) -> None:
+        while self.unsent:
+            try:
+                count = self.sock.send(self.unsent[:CHUNK])
+            except BlockingIOError:
+                break
+            del self.unsent[:count]
+        self._want(READ | (WRITE if self.unsent else 0))
+
+    def _want(self, mask: int) -> None:
+        if not self.mask:
+            self.loop.watch(self.sock.fileno(), self, mask)
+        elif mask != self.mask:
+            self.loop.change(self.sock.fileno(), mask)
+        self.mask = mask
+
+
+def greeting(fleet: str, member: str) -> Hello:
+    return Hello(fleet, VERSION, member)
--- /dev/null
+++ b/starlingwheel/net/fleet/mail.py
@@ -0,0 +1,69 @@
+"""What the fleet's actors write to each other and to the module."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from ...fleet.view import Member, View
+
+
+@dataclass(slots=True, eq=False)
+class LinkUp:
+    """To the module: a member has said who it is."""
+
+    member: str
+    link: Any
+
+
+@dataclass(slots=True, eq=False)
+class LinkDown:
+    """To the module: that link has ended."""
+
+    member: str
+    link: Any
+
+
+@dataclass(slots=True, eq=False)
+class Framed:
+    """To the module: a frame that a member has sent."""
+
+    member: str
+    frame: Any
+
+
+@dataclass(slots=True, eq=False)
+class Say:
+    """To a link: send these bytes."""
+
+    data: bytes
+
+
+@dataclass(slots=True, eq=False)
+class Viewed:
+    """To the module and the links: who is in. `gap`: there may have been views between that nobody saw."""
+
+    view: View
+    gap: bool
+
+
+@dataclass(slots=True, eq=False)
+class Renewed:
+    """To the module: our lease holds until then."""
+
+    until: float
+
+
+@dataclass(slots=True, eq=False)
+class Lapsed:
+    """To the arbiter's client: our own entry has gone."""
+
+
+@dataclass(slots=True, eq=False)
+class Released:
+    """To a connection: the hand-off that it holds back may be written whole."""
+
+    errand: Any
+
+
+__all__ = ["Framed", "Lapsed", "LinkDown", "LinkUp", "Member", "Released", "Renewed", "Say", "Viewed"]
--- /dev/null
+++ b/starlingwheel/net/fleet/module.py
@@ -0,0 +1,303 @@
+"""The module's actor where work is covered: it also hosts `Covering`, which lets its hand-offs go."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from math import inf
+from typing import TYPE_CHECKING, Any
+
+from ...decisions.terms import Condition, Effect, Fate, HandOff, Listing, WorkItem
+from ...fleet.cover import UNSENT, WRITTEN_OFF, Covering, Item, Word
+from ...fleet.frames import Asked, Beat, Cover, Frame, Intent, Reply
+from ...fleet.part import CoverPart
+from ..mail import CLOSE, Final, Left, Taken
+from ..memory.buffers import Body, Exhausted
+from ..memory.flow import Flow
+from ..memory.work import Answer, Errand, Job
+from ..module import Module
+from .links import framed
+from .mail import Framed, Lapsed, LinkDown, LinkUp, Released, Renewed, Say, Viewed
+
+if TYPE_CHECKING:
+    from ..lifecycle.start import Node
+
+LATEST = 0.98  # part of its patience after which a client that waits for another's answer is told
+LONGEST_NAME = 256
+ROOM = 1 / 8  # part of the memory limit for what is kept for others
+TICKET = b"idempotency-key"
+BAD = 400
+
+
+class Gate:
+    """Whether a hand-off may be written whole."""
+
+    __slots__ = ("item", "number", "open", "passed")
+
+    def __init__(self, item: Item, number: int) -> None:
+        self.item, self.number = item, number
+        self.open = self.passed = False
+
+
+class Nobody:
+    """Stands where a client stood whose sidecar is lost: its answer is recorded, not written."""
+
+    def post(self, mail: Any) -> None:
+        if isinstance(mail, Final) and mail.answer:
+            mail.answer.body.release()
+
+
+class CoveringModule(Module):
+    def __init__(self, node: Node, me: str, part: CoverPart, lapsed: Callable[[Lapsed], None]) -> None:
+        """`lapsed` is told when our own entry has gone from the view."""
+        self.me, self.part, self.lapsed = me, part, lapsed
+        self.categories = frozenset(part.categories)
+        self.header = part.name_header.encode()
+        self.links: dict[str, Any] = {}
+        self.gates: dict[Errand, Gate] = {}
+        self.errands: dict[tuple[Item, int], Errand] = {}
+        self.items: dict[WorkItem, Item] = {}
+        room = int(node.config.limits.memory_mb * ROOM * 2**20)
+        self.covering = Covering(me, node.longest, part.keepers, room, self, node.loop.now())
+        super().__init__(node)
+
+    def _handle(self, mail: Any) -> None:
+        self.covering.now = self.runner.now
+        match mail:
+            case Taken(job) if (name := self._name(job)) is not None:
+                self._begin(job, name)
+            case Left(job) if (item := self.items.get(job.wi)) is not None:
+                self._left(job, item)
+            case Framed(member, frame):
+                self.covering.heard(member, frame)
+            case LinkUp(member, link):
+                self.links[member] = link
+                self.covering.up(member)
+            case LinkDown(member, link):
+                if self.links.get(member) is link:
+                    del self.links[member]
+                    self.covering.down(member)
+            case Viewed(view, gap):
+                self.node.log("view", members=len(view.members), digest=view.digest, ours=self.me in view)
+                if self.me in self.covering.view and self.me not in view:
+                    self.lapsed(Lapsed())
+                if gap:
+                    # Guards against words said under a view between that nobody saw: all is told anew.
+                    for link in self.links.values():
+                        link.post(CLOSE)
+                self.covering.viewed(view, gap)
+            case Renewed(until):
+                self.covering.lease_until = until
+            case None:
+                self.covering.tick()
+                super()._handle(mail)
+            case _:
+                super()._handle(mail)
+        self.alarm_at = min(self.alarm_at, self.covering.next_at())
+
+    def beat(self) -> Beat:
+        self.covering.now = self.loop.now()
+        return Beat(self.covering.view.digest, not self.covering.may_decide())
+
+    # Requests with a name.
+
+    def _name(self, job: Job) -> bytes | None:
+        """What its client calls it; None: it is not covered."""
+        if job.wi.category.name not in self.categories:
+            return None
+        name = None
+        for header, value in job.headers:
+            low = header.lower()
+            if low == TICKET or (low == self.header and name is None):
+                name = value
+                if low == TICKET:
+                    break
+        if name is None:
+            self.covering.counts["unnamed"] += 1
+        elif isinstance(job.body, Flow):
+            # A body that is passed on while it comes is kept nowhere.
+            self.covering.counts["too_long"] += 1
+            name = None
+        return name
+
+    def _begin(self, job: Job, name: bytes) -> None:
+        if not 0 < len(name) <= LONGEST_NAME:
+            self._answer_job(job, Reply(BAD))
+            return
+        wi, now = job.wi, self.runner.now
+        category = wi.category
+        body = b"".join(job.body.views())
+        key = category.name.encode() + b"\0" + name
+        mark = hashlib.blake2b(b"\0".join((job.method, job.target, body)), digest_size=8).digest()
+        asked = Asked(job.method, job.target, [(bytes(n), bytes(v)) for n, v in job.headers], body, job.trace)
+        until = now + wi.patience
+        effect = category.effect.value
+        told = Cover(key, self.me, 0, False, mark, category.name, effect, now, until, wi.repeat, asked, [])
+        word, item = self.covering.begin(told, job, now + LATEST * wi.patience)
+        match word:
+            case Word.RUN:
+                self._run_job(item, job)
+            case Word.ANSWER:
+                self._answer_job(job, item.reply)
+            case Word.OTHER:
+                self.node.log("cover.other", category=category.name)
+                self._answer_job(job, Reply(422))
+            case Word.WAIT:
+                if job.owed:
+                    self.items[wi] = item
+
+    def _run_job(self, item: Item, job: Job) -> None:
+        self.items[job.wi] = item
+        self.jobs[job.wi] = job
+        self.runner.take(job.wi)
+
+    def _left(self, job: Job, item: Item) -> None:
+        over = self.covering.left(item, job)
+        if not over and job.wi in self.jobs and job.owed:
+            # Whoever comes again under its name gets its answer: it goes on with nobody waiting.
+            job.client = Nobody()
+            return
+        self.items.pop(job.wi, None)
+        if job.wi in self.jobs:
+            super()._handle(Left(job))
+        else:
+            job.owed = False
+            job.body.release()
+
+    # The door of the cover.
+
+    def say(self, member: str, frame: Frame) -> bool:
+        link = self.links.get(member)
+        if link is None or link.over:
+            return False
+        link.post(Say(framed(frame)))
+        return True
+
+    def go(self, item: Item, number: int) -> None:
+        if (errand := self.errands.get((item, number))) is not None:
+            self.gates[errand].open = True
+            if errand.connection is not None:
+                errand.connection.post(Released(errand))
+
+    def stop(self, item: Item, number: int) -> None:
+        if (errand := self.errands.get((item, number))) is not None:
+            self._drop(errand)
+
+    def decide(self, item: Item) -> None:
+        job = item.main
+        category = self.node.category(item.category, Effect(item.effect))
+        if category is None:
+            self._settled(item, Reply(WRITTEN_OFF))
+            return
+        now = self.runner.now
+        wi = WorkItem(category, now, max(0.0, item.until - now), repeat=item.repeat)
+        asked = item.asked
+        body = Body(self.node.pool)
+        try:
+            body.add(asked.body)
+        except Exhausted:
+            body.release()
+            self._settled(item, Reply(WRITTEN_OFF))
+            return
+        client = Nobody() if job is None else job.client
+        new = Job(wi, client, asked.method, asked.target, asked.headers, body, asked.trace)
+        if job is not None:
+            # What its client says of the former one is said of this one.
+            item.clients[new] = item.clients.pop(job)
+            self.items.pop(job.wi, None)
+            job.owed = False
+            job.body.release()
+            if getattr(client, "job", None) is job:
+                client.job = new
+        item.main = new
+        self.items[wi] = item
+        self.jobs[wi] = new
+        before = [
+            (Listing(i.upstream, i.zone, i.cell, 1.0, None, Condition.GONE), i.at, not i.fate)
+            for i in item.intents
+            if i.fate != UNSENT
+        ]
+        self.runner.take(wi, before)
+
+    def _settled(self, item: Item, reply: Reply) -> None:
+        """What can't even be decided on."""
+        for client in list(item.clients):
+            self._answer_job(client, reply)
+        item.clients.clear()
+        self.covering.answered(item, reply)
+
+    def answer(self, item: Item, client: Job, reply: Reply) -> None:
+        self._answer_job(client, reply)
+
+    def note(self, event: str, **fields: Any) -> None:
+        self.node.log(event, **fields)
+
+    def _answer_job(self, job: Job, reply: Reply) -> None:
+        self.items.pop(job.wi, None)
+        deciding = job.wi in self.jobs
+        if not deciding:
+            job.body.release()
+        super()._final(job, self._made(reply), KINDS.get(reply.status, "written_off"))
+        if deciding:
+            self.runner.gone(job.wi)
+            self._forget_if_closed(job)
+
+    def _made(self, reply: Reply) -> Final:
+        if reply.status != 200:
+            return Final(reply.status, come_back=reply.come_back)
+        body = Body(self.node.pool)
+        try:
+            body.add(reply.body)
+        except Exhausted:
+            body.release()
+            return Final(WRITTEN_OFF)
+        return Final(200, Answer(body, reply.kind))
+
+    # What the decisions want.
+
+    def send(self, ho: HandOff, limit: float) -> None:
+        super().send(ho, limit)
+        item = self.items.get(ho.wi)
+        if item is None:
+            return
+        errand = self.jobs[ho.wi].errands[ho]
+        listing = ho.upstream.listing
+        intent = Intent(listing.address, listing.zone, listing.cell, self.runner.now)
+        number = self.covering.intend(item, intent)
+        self.gates[errand] = Gate(item, number)
+        self.errands[item, number] = errand
+        self.covering.hand_on(item, number)
+
+    def _ended(self, errand: Errand, fate: Fate, report: dict[str, float], answer: Any) -> None:
+        if (gate := self.gates.pop(errand, None)) is not None:
+            del self.errands[gate.item, gate.number]
+            if fate.never_ran or not (gate.open and errand.written):
+                self.covering.ended(gate.item, gate.number, fate.value)
+        super()._ended(errand, fate, report, answer)
+
+    def _final(self, job: Job, final: Final, how: str) -> None:
+        item = self.items.pop(job.wi, None)
+        if item is None:
+            super()._final(job, final, how)
+            return
+        until = item.clients.pop(job, inf)
+        reply = Reply(final.status, final.come_back)
+        if final.answer is not None:
+            body = final.answer.body
+            # One that is passed on while it comes can't be given to anybody else.
+            whole = b"" if isinstance(body, Flow) else b"".join(body.views())
+            reply = Reply(WRITTEN_OFF if isinstance(body, Flow) else 200, 0.0, final.answer.kind, whole)
+        given = self.covering.answered(item, reply)
+        if given is None:
+            job.owed = False
+            if not isinstance(job.client, Nobody):
+                self.covering.wait_on(item, job, until)
+                self.items[job.wi] = item
+            return
+        if given is not reply and final.answer is None:
+            final = self._made(given)
+            how = KINDS.get(given.status, how)
+        super()._final(job, final, how)
+
+
+KINDS = {200: "finished", 503: "deferred", 504: "written_off"}
--- /dev/null
+++ b/starlingwheel/net/fleet/start.py
@@ -0,0 +1,46 @@
+"""The fleet's part of a start; loaded only where the configuration has a `fleet` part."""
+
+from __future__ import annotations
+
+import random
+import socket
+from typing import TYPE_CHECKING, Any
+
+from ...fleet.part import FleetPart
+from ...fleet.view import Member
+from .arbiter import Lessee, Onlooker
+from .connection import HoldingConnection
+from .links import Links, greeting
+from .mail import Viewed
+from .module import CoveringModule
+
+if TYPE_CHECKING:
+    from ..lifecycle.start import Node
+
+
+class Fleet:
+    """One sidecar's actors of the fleet."""
+
+    def __init__(self, node: Node, part: FleetPart, sock: socket.socket) -> None:
+        chance = random.Random(f"{node.config.seed} fleet")
+        address = part.advertise or "{}:{}".format(*sock.getsockname())
+        # New with each start, also where two starts are given the same seed.
+        self.me = f"{node.config.name or 'sidecar'}.{random.SystemRandom().getrandbits(48):012x}"
+        member = Member(self.me, node.config.name, address, node.terms.zone)
+        given = (node.loop, part.arbiter, float(part.lease_s), node.pool, node.log, chance)
+        self.lessee = Lessee(*given, fleet=part.name, member=member, tell=self._tell)
+        self.onlooker = Onlooker(*given, fleet=part.name, member=member, tell=self._tell)
+        self.module = CoveringModule(node, self.me, part.cover, self.lessee.post)
+        self.links = Links(
+            node.loop, sock, greeting(part.name, self.me), self._tell, self.module.beat, node.log, chance
+        )
+        node.connection = HoldingConnection
+
+    def _tell(self, mail: Any) -> None:
+        self.module.post(mail)
+        if isinstance(mail, Viewed):
+            self.links.post(mail)
+
+    def begin(self) -> None:
+        for actor in (self.links, self.lessee, self.onlooker):
+            actor.begin()
--- a/starlingwheel/net/lifecycle/config.py
+++ b/starlingwheel/net/lifecycle/config.py
@@ -34,6 +34,7 @@
     peers_all: str = ""
     known: Word | None = None
     mgmt: str = ""
+    fleet: Any = None  # as given; fleet/part.py knows what it may say
     named: frozenset[str] = frozenset()  # the keys that the file has
 
 
@@ -43,7 +44,20 @@
 
 def configured(environment: Mapping[str, str]) -> tuple[Config, Terms]:
     config = _read(environment)
-    return config, _terms(config, environment["EDGE_CONFIG"])
+    return _whole(config, environment["EDGE_CONFIG"])
+
+
+def _whole(config: Config, path: str) -> tuple[Config, Terms]:
+    terms = _terms(config, path)
+    if config.fleet is not None:
+        from ...fleet.part import decode  # costs a start without it no import
+
+        try:
+            part = decode(config.fleet, [c.name for c in terms.categories], terms.streams)
+        except ValueError as error:
+            raise Unusable(f"{path}: {error}") from error
+        config = msgspec.structs.replace(config, fleet=part)
+    return config, terms
 
 
 def _read(environment: Mapping[str, str]) -> Config:
@@ -91,7 +105,7 @@
         _complete(before, config, path)
     except (TypeError, AttributeError) as error:
         raise Unusable(f"{path}: settings: {error}") from error
-    return config, _terms(config, path)
+    return _whole(config, path)
 
 
 def _complete(before: Config, config: Config, path: str) -> None:
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -66,7 +66,12 @@
             self.connection = Shared
         self.chance = random.Random(config.seed)
         self.list = List(self, config.known.version if config.known else 0)
-        self.module = Module(self)
+        self.fleet: Any = None
+        if config.fleet is not None:
+            from ..fleet.start import Fleet  # costs a start without it no import
+
+            self.fleet = Fleet(self, config.fleet, self._bound(socket.SOCK_STREAM, config.fleet.listen))
+        self.module = self.fleet.module if self.fleet is not None else Module(self)
         self.listener = Listener(
             self, self._passed() if self.passed else self._bound(socket.SOCK_STREAM, config.listen)
         )
@@ -167,6 +172,8 @@
         self.module.post(Listed(News.WHOLE, self.out.listed(True, known)))
         if self.operators is not None:
             self.operators.begin()
+        if self.fleet is not None:
+            self.fleet.begin()
         limits = msgspec.structs.asdict(self.config.limits)
         times = {"shortest_ms": self.shortest * 1000, "longest_ms": self.longest * 1000}
         name, listen = self.config.name, self.config.listen
--- /dev/null
+++ b/tests/test_fleet_trials.py
@@ -0,0 +1,46 @@
+"""Stories of several real processes: started by the rig, with faults between them, counted at both ends."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import tempfile
+
+import pytest
+
+from trials import loss
+from trials.rig import ROOT
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_exclusive_work_in_hand_runs_once_when_its_sidecar_is_killed(seed):
+    verdict = asyncio.run(loss.play(seed, rate=100))
+    counts = verdict.counts
+    assert verdict.kept, verdict.broken
+    assert counts["in hand at the loss"] and counts["of these ran twice"] == 0
+    # What may have run is not sent again, and next to nothing else is given up for it.
+    assert counts["finished"] >= counts["work"] - counts["in hand at the loss"] - 4
+
+
+def test_the_rig_sees_what_runs_twice_where_nothing_covers_it():
+    verdict = asyncio.run(loss.play(1, fleet=False, rate=200))
+    assert not verdict.kept and verdict.counts["of these ran twice"]
+
+
+def test_a_sidecar_without_a_fleet_loads_nothing_of_it():
+    code = (
+        "import sys; from starlingwheel.net.loop import Loop; Loop.run = lambda self: None;"
+        "from starlingwheel.net.lifecycle.start import main; assert main() == 0;"
+        "print([m for m in sys.modules if '.fleet' in m])"
+    )
+    config = ROOT / "examples" / "config.json"
+    told = json.loads(config.read_text()) | {"listen": "127.0.0.1:0"}
+    with tempfile.NamedTemporaryFile("w") as file:
+        json.dump(told, file)
+        file.flush()
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=ROOT, env=os.environ | {"EDGE_CONFIG": file.name}, capture_output=True, text=True, check=True,
+        )  # fmt: skip
+    assert done.stdout.splitlines()[-1] == "[]"
