Covered work at fleets of emulated members: five ways to run it twice found and closed

trials/emulated.py steps the program's fleet/ code in emulated time: 8 members, crashes, pauses, cuts each way, resets, an arbiter that is gone, clients that come again and twins of one name. Causes, each from a traced seed: a home in the view but out of reach was stood in for while it granted elsewhere (_seek); a new home was not told what was answered before (Over, and again after a lost link); a record from before a member was out of the view was taken over though its owner had gone on (stale); an owner that had lost its home went on before all had told (_let_go waits until steady); frames of a view ahead of the home's were turned away and never said again (granted covers and orphans are kept). A lapsed member that hears nobody acts alone no more.

--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -27,7 +27,6 @@
     OTHER,
     RUNNING,
     STALE,
-    STRANGER,
     UNKNOWN,
     Answered,
     Asked,
@@ -39,6 +38,7 @@
     Intend,
     Intent,
     Kept,
+    Over,
     Reply,
     Told,
 )
@@ -80,7 +80,7 @@
     __slots__ = (
         "key", "mark", "category", "effect", "at", "until", "repeat", "asked", "intents", "epoch", "owner",
         "state", "reply", "keepers", "sure", "running", "main", "waiting", "askers", "clients", "adopted",
-        "let_go", "unnoted", "at_home", "bytes",
+        "let_go", "unnoted", "at_home", "bytes", "stale",
     )  # fmt: skip
 
     def __init__(self, told: Cover, state: State) -> None:
@@ -102,6 +102,7 @@
         self.unnoted: Reply | None = None  # a deferral that its keepers have not recorded yet
         self.at_home = ""  # whom we asked, or who acts on it
         self.bytes = len(told.asked.body) + EACH
+        self.stale = False  # a record from before we were out of the view for a while
 
     @property
     def may_have_run(self) -> bool:
@@ -149,7 +150,7 @@
         self.settled = False  # there was one
         self.told: dict[str, int] = {}  # the view under which each member has told us that
         self.beats: dict[str, tuple[float, Beat]] = {}
-        self.links: set[str] = set()
+        self.links: dict[str, None] = {}
         self.held: list[tuple[str, Cover]] = []  # asked of us before all have told
         self.lease_until = -inf
         self.counts: Counter[str] = Counter()
@@ -164,6 +165,11 @@
         """Another set of members holds leases. `gap`: there may have been others between."""
         if view.digest == self.view.digest:
             return
+        ours = (self.view.members.get(self.me), view.members.get(self.me))
+        if gap or ours[0] != ours[1]:
+            # Others may have gone on without us: what we know of their work is old.
+            for item in self.items.values():
+                item.stale = item.state is State.KEEPING
         self.view, self.view_at = view, self.now
         self.settled = self.settled and not gap
         self.lately = [*self.lately, view] if self.settled else [view]
@@ -175,7 +181,7 @@
 
     def up(self, member: str) -> None:
         """There is a link to a member: the first one, or a new one."""
-        self.links.add(member)
+        self.links[member] = None
         for item in list(self.items.values()):
             if item.state is State.OWNING and member in item.keepers:
                 # What was said on the link before may be lost, and it may have taken over meanwhile.
@@ -185,7 +191,7 @@
 
     def down(self, member: str) -> None:
         """The link to a member has ended, or nothing comes over it any more."""
-        self.links.discard(member)
+        self.links.pop(member, None)
         self.beats.pop(member, None)
         self.told.pop(member, None)
         self.held = [(who, cover) for who, cover in self.held if who != member]
@@ -197,6 +203,8 @@
                     # Guards against telling a client that nothing was done while one that we can't reach
                     # takes it over.
                     self._done(item, Reply(WRITTEN_OFF))
+            elif item.state is State.DONE and item.at_home == member:
+                item.at_home = ""  # what was said last may be lost
             elif (item.state is State.KEEPING and item.owner == member) or item.at_home == member:
                 self._place(item)
 
@@ -208,8 +216,9 @@
             case Told(view):
                 self.told[member] = view
                 self._perhaps_settled()
+                # It may have turned away what it did not know yet to be its own.
                 for item in list(self.items.values()):
-                    if not item.sure and item.state in (State.OWNING, State.ASKING):
+                    if self.view.home(item.key) == member:
                         self._place(item)
             case Cover():
                 self._covered(member, frame)
@@ -225,6 +234,8 @@
                 self._answered(member, key, epoch, reply)
             case Kept():
                 self._kept(member, frame)
+            case Over():
+                self._heard_over(frame)
 
     @property
     def settled_now(self) -> bool:
@@ -332,7 +343,6 @@
                 self._tell_keepers(item, reply)
                 return None
             reply = Reply(WRITTEN_OFF)
-        self._tell_keepers(item, reply)
         self._done(item, reply)
         return reply
 
@@ -393,37 +403,53 @@
     def _seek(self, item: Item) -> None:
         """Ask the home whether it is new; where that can't be reached, whoever would stand in for it."""
         home = self.view.home(item.key)
+        stands_in = next((m.id for m in self.view.ranks(item.key) if m.id in self.links), "")
         item.at_home = ""
-        if home == self.me:
+        if home == self.me and self.may_decide():
             if self._steady(item.key):
                 self._own(item)
             else:
                 self.counts["held"] += 1
             return
-        if not home or self.me not in self.view:
-            self._uncovered(item, "no-view")
-            return
         if home in self.links:
             item.at_home = home
             self._cover_by_all(item)
             return
-        stands_in = next((m.id for m in self.view.ranks(item.key) if m.id in self.links), "")
-        if item.repeat and item.effect != RERUNNABLE:
+        if home == self.me and stands_in:
+            # Others may have a view without us, and say who is its home now.
+            item.at_home = stands_in
+            self._cover(item, stands_in, asks=True)
+            return
+        if item.effect == RERUNNABLE:
+            if stands_in:
+                self._stand_in(item, stands_in)
+            else:
+                self._uncovered(item, "no-link" if home else "no-view")
+        elif stands_in and self.door.say(stands_in, Find(item.key, item.mark)):
             # Guards against doing twice what only the home may know of.
             item.state, item.at_home = State.ASKING, stands_in
-            if not stands_in or not self.door.say(stands_in, Find(item.key, item.mark)):
-                self._give_up(item, "home-unreachable")
-            return
-        if not stands_in:
-            self._uncovered(item, "no-link")
-            return
+        elif self._must_wait(item):
+            self._give_up(item, "home-unreachable")
+        else:
+            self._uncovered(item, "no-link" if home else "no-view")
+
+    def _must_wait(self, item: Item) -> bool:
+        """Its home can't be reached, and a view to come may name another.
+
+        While we hold a lease that is soon. Without one service goes on, but not for what may be in hand
+        already, nor with so few members in reach that we may be the ones cut off.
+        """
+        known = bool(self.view.members)
+        return item.repeat or (known and (self.now < self.lease_until or not self.may_decide()))
+
+    def _stand_in(self, item: Item, member: str) -> None:
         self.counts["stood_in"] += 1
         item.sure, item.state = True, State.OWNING
-        self._cover(item, stands_in)
+        self._cover(item, member)
 
-    def _cover(self, item: Item, member: str) -> None:
+    def _cover(self, item: Item, member: str, asks: bool = False) -> None:
         item.owner = self.me
-        asks = self.view.home(item.key) == member
+        asks = asks or self.view.home(item.key) == member
         if self.door.say(member, item.cover(asks)):
             item.keepers[member] = -1
 
@@ -463,6 +489,8 @@
         """Hand-offs whose intents all keepers have recorded."""
         if not item.sure or item.state is not State.OWNING or not item.waiting:
             return
+        if self.view.home(item.key) == self.me and not self._steady(item.key):
+            return  # guards against going on while one that took it over under the view before does too
         alone = item.adopted and not item.keepers and len(self.view.members) > 1
         if alone and item.effect != RERUNNABLE:
             return  # guards against two that each believe they have taken it over
@@ -489,7 +517,7 @@
                 if not item.keepers:
                     self._done(item, item.unnoted)
         elif kept.verdict in (RUNNING, STALE):
-            self._superseded(item, member)
+            self._superseded(item, kept.where if kept.where in self.links else member)
         elif kept.verdict == ANSWERED and kept.reply is not None:
             self._stop_all(item)
             self._done(item, kept.reply)
@@ -499,7 +527,11 @@
             self._forget(item)
         elif kept.verdict == UNKNOWN:
             if item.state is not State.OWNING and item.at_home == member:
-                self._give_up(item, "home-unreachable")
+                if kept.where or self._must_wait(item):
+                    self._give_up(item, "home-unreachable")
+                else:
+                    self._stand_in(item, member)
+                    self._start(item)
         elif kept.verdict in (NEW, KEPT):
             if item.epoch != kept.epoch or member not in item.keepers:
                 return
@@ -508,15 +540,18 @@
                 item.sure, item.state = True, State.OWNING
                 self._start(item)
             self._let_go(item)
-        elif kept.verdict in (FULL, STRANGER, MOVED):
+        elif kept.verdict == MOVED:
+            item.keepers.pop(member, None)
+            if item.at_home == member and not item.sure:
+                # Our views differ, and ours may stay behind as long as the arbiter can't be reached.
+                item.at_home = ""
+                if kept.where in self.links:
+                    item.at_home = kept.where
+                    self._cover(item, kept.where, asks=True)
+        elif kept.verdict == FULL:
             item.keepers.pop(member, None)
-            if kept.verdict == MOVED:
-                item.at_home = ""  # our views differ: his next one or ours says where
-            elif not item.sure and member == item.at_home:
-                if item.state is State.ASKING and item.effect != RERUNNABLE:
-                    self._give_up(item, kept.verdict)
-                    return
-                self._uncovered(item, kept.verdict)
+            if not item.sure and member == item.at_home:
+                self._uncovered(item, FULL)
                 self._start(item)
             self._let_go(item)
 
@@ -537,6 +572,10 @@
             self._remind(item.clients[item.main], item, item.main)
 
     def _done(self, item: Item, reply: Reply) -> None:
+        self._tell_keepers(item, reply)
+        home = self.view.home(item.key)
+        item.at_home = home if home in item.keepers else ""
+        item.keepers.clear()
         item.reply, item.state, item.unnoted = reply, State.DONE, None
         grown = len(reply.body) - len(item.asked.body)
         if self.items.get(item.key) is item:
@@ -563,9 +602,6 @@
         if told.owner != member:
             self._orphan(told)
             return
-        if member not in self.view:
-            self._say_kept(member, told, STRANGER)
-            return
         if not self.now - 4 * self.longest <= told.at <= told.until <= self.now + 2 * self.longest:
             # Guards against clocks that differ too much, and against records that are never over.
             self._say_kept(member, told, FULL)
@@ -574,13 +610,19 @@
             self._forget(item)
             item = None
         unsure = item is not None and not item.sure and item.state in UNSURE
-        if told.asks and self.view.home(told.key) != self.me and (item is None or unsure):
-            self._say_kept(member, told, MOVED)
+        home = self.view.home(told.key)
+        outsider = member not in self.view  # only the home deals with those, and only while it hears them
+        asks = told.asks and (home == self.me or not told.granted)
+        if home != self.me and (outsider or (asks and (item is None or unsure))):
+            self.door.say(member, Kept(told.key, told.epoch, MOVED, where=home))
             return
-        if told.asks and not told.granted and (item is None or unsure) and not self._steady(told.key):
+        if asks and (item is None or unsure or item.owner == member) and not self._steady(told.key):
+            # Guards against granting what another home has granted: all have told before long.
             self.held.append((member, told))
             return
-        granted = NEW if told.asks else KEPT
+        granted = (
+            NEW if asks else KEPT
+        )  # its view may be ahead of ours: then we keep it, and are its home soon
         if item is None:
             if self.kept_bytes > self.room:
                 self._say_kept(member, told, FULL)
@@ -606,7 +648,7 @@
     def _merge(self, item: Item, told: Cover) -> None:
         """The history as both know it: an intent recorded anywhere counts."""
         item.owner, item.epoch, item.until = told.owner, told.epoch, max(item.until, told.until)
-        item.asked = told.asked
+        item.asked, item.stale = told.asked, False
         both = list(told.intents)
         for number, intent in enumerate(item.intents):
             if number >= len(both):
@@ -629,7 +671,10 @@
                 verdict, reply = ANSWERED, item.reply
             else:
                 item.askers[member] = None
-        self.door.say(member, Kept(key, 0, verdict, 0, reply))
+        # Whether somebody hears its home: nobody is to stand in for that then.
+        home = self.view.home(key)
+        where = home if home in self.links or home == self.me else ""
+        self.door.say(member, Kept(key, 0, verdict, 0, reply, where))
 
     def _intends(self, member: str, key: bytes, epoch: int, number: int, intent: Intent) -> None:
         item = self.items.get(key)
@@ -637,6 +682,9 @@
             return  # what was said of it was turned away, or is over
         if item.state is State.DONE:
             self.door.say(member, Kept(key, epoch, ANSWERED, 0, item.reply))
+        elif member not in self.view and self.view.home(key) != self.me:
+            # Its lease has ended, and whoever is home now may have taken it over.
+            self.door.say(member, Kept(key, epoch, STALE, where=self.view.home(key)))
         elif item.state is not State.KEEPING or (item.owner, item.epoch) != (member, epoch):
             item.askers[member] = None
             self.door.say(member, Kept(key, epoch, STALE))
@@ -656,9 +704,7 @@
             self._done(item, reply)
         elif reply.status == FINISHED:
             # Its former owner was only cut off, and a hand-off that was granted to it has finished it.
-            if item.state is State.OWNING:
-                self._stop_all(item)
-                self._tell_keepers(item, reply)
+            self._stop_all(item)
             self._done(item, reply)
         else:
             item.askers[member] = None
@@ -678,15 +724,17 @@
                 return
             item.sure = item.sure or (home == self.me and self._steady(item.key))
             self._cover_by_all(item)
-            if not item.keepers and not item.sure and home not in ("", self.me):
+            if not item.keepers and not item.sure and home and item.effect == RERUNNABLE:
                 self._uncovered(item, "keepers-lost")
             self._let_go(item)
-        elif item.state is State.KEEPING and item.owner not in self.links:
-            # A member whose lease has ended but that we still hear goes on with what it owns.
-            if self.view.home(item.key, but=item.owner) == self.me:
-                self._take_over(item)
-            elif item.owner not in self.view and home in self.links:
+        elif item.state is State.KEEPING:
+            if item.owner not in self.view and home in self.links:
                 self.door.say(home, item.cover(asks=False))
+            # A member whose lease has ended but that we, its home, still hear goes on with what it owns.
+            elif item.owner not in self.links and self.view.home(item.key, but=item.owner) == self.me:
+                self._take_over(item)
+        elif item.state is State.DONE:
+            self._tell_home(item, home)
         elif item.state in (State.ASKING, State.JOINED):
             lost = item.at_home not in self.links
             if lost or (item.state is State.ASKING and item.at_home != home and home in self.links):
@@ -695,8 +743,35 @@
                 self._seek(item)
                 self._start(item)
 
+    def _tell_home(self, item: Item, home: str) -> None:
+        """Guards against a new home taking for new what was answered before it became that."""
+        if home in (item.at_home, self.me) or home not in self.links or item.reply is None:
+            return
+        if item.owner == self.me or item.owner not in self.links:
+            item.at_home = home
+            over = Over(item.key, item.owner, item.mark, item.category, item.effect, item.until, item.reply)
+            self.door.say(home, over)
+
+    def _heard_over(self, over: Over) -> None:
+        item = self.items.get(over.key)
+        if item is None:
+            if self.kept_bytes > self.room or over.until > self.now + 2 * self.longest:
+                return
+            at = over.until - self.longest
+            told = Cover(
+                over.key, over.owner, 0, False, over.mark, over.category, over.effect, at, over.until, True,
+                NOTHING, [],
+            )  # fmt: skip
+            item = self._add(Item(told, State.KEEPING))
+        elif item.state is State.DONE or item.sure:
+            return
+        self._stop_all(item)
+        self._done(item, over.reply)
+
     def _take_over(self, item: Item) -> None:
-        if not self.may_decide():
+        """Its owner is lost. Waits until all have told, where others may know more of it than we do."""
+        known = not item.stale and (self.view.home(item.key) != self.me or self._steady(item.key))
+        if not self.may_decide() or not (known or self.settled_now):
             self.counts["not_sure"] += 1
             return
         former, item.owner = item.owner, self.me
@@ -712,15 +787,12 @@
         self.door.note("cover.taken_over", former=former, **told)
         self._cover_by_all(item)
         if left <= 0:
-            self._tell_keepers(item, Reply(WRITTEN_OFF))
             self._done(item, Reply(WRITTEN_OFF))
             return
         self._start(item)
 
     def _orphan(self, told: Cover) -> None:
-        """Another keeper's record of what a lost member owned; we are its home."""
-        if told.owner in self.links or self.view.home(told.key) != self.me:
-            return
+        """Another keeper's record of what a lost member owned; we are its home, or will be in its view."""
         item = self.items.get(told.key)
         if item is None:
             item = self._add(Item(told, State.KEEPING))
@@ -730,7 +802,8 @@
             self._merge(item, told)
         elif item.state is State.KEEPING and item.epoch <= told.epoch:
             self._merge(item, told)
-        self._place(item)
+        if self.view.home(told.key) == self.me:
+            self._place(item)
 
     def may_decide(self) -> bool:
         """We are in the view that holds, as far as can be known.
@@ -761,7 +834,15 @@
         self.lately, self.settled = [self.view], True
         held, self.held = self.held, []
         for item in list(self.items.values()):
-            if item.sure or self.view.home(item.key) != self.me or not self._steady(item.key):
+            if item.state is State.KEEPING:
+                if item.stale and item.owner in self.view and not item.clients:
+                    self._forget(item)  # its owner lives and has not told it to us
+                else:
+                    self._place(item)
+            if self.view.home(item.key) != self.me or not self._steady(item.key):
+                continue
+            if item.sure:
+                self._let_go(item)
                 continue
             if item.state is State.ASKING or item.state is State.OWNING:
                 self._own(item)
--- a/starlingwheel/fleet/frames.py
+++ b/starlingwheel/fleet/frames.py
@@ -117,6 +117,19 @@
     verdict: str
     upto: int = 0
     reply: Reply | None = None
+    where: str = ""
+
+
+class Over(msgspec.Struct, array_like=True, tag=10, frozen=True):
+    """To a new home: that item has had its final answer."""
+
+    key: bytes
+    owner: str
+    mark: bytes
+    category: str
+    effect: str
+    until: float
+    reply: Reply
 
 
 # What `Kept.verdict` says.
@@ -126,10 +139,9 @@
 ANSWERED = "answered"  # here is its final answer
 OTHER = "other"  # that name stands for another request
 STALE = "stale"  # another one has taken it over from you
-MOVED = "moved"  # its home is elsewhere, as seen from here
-STRANGER = "stranger"  # the asker is not in the view that holds here
+MOVED = "moved"  # its home is elsewhere as seen from here; `where` names it
 UNKNOWN = "unknown"  # to `Find`: nothing is known of it here
 FULL = "full"  # no room to keep it
 NOTED = "noted"  # the final answer is recorded
 
-Frame = Hello | Beat | Told | Cover | Find | Intend | Ended | Answered | Kept
+Frame = Hello | Beat | Told | Cover | Find | Intend | Ended | Answered | Kept | Over
--- /dev/null
+++ b/trials/emulated.py
@@ -0,0 +1,532 @@
+"""The cover of a whole fleet in emulated time: the program's `fleet/` code, no sockets, hundreds of seeds.
+
+Members are stepped in one process. Links delay, cut and end; members crash, restart and pause; leases run
+out at an arbiter that is never wrong but may be gone. Upstreams count runs, clients come again. This plays
+the code's own decisions, not the program's sockets: for those see the trials of real processes.
+"""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from starlingwheel.fleet.cover import UNSENT, Covering, Item, Word
+from starlingwheel.fleet.frames import Asked, Beat, Cover, Frame, Intent, Reply
+from starlingwheel.fleet.view import Member, View
+
+EXPIRY, SERVICE, LEASE, SILENCE, BEAT = 2.0, 0.08, 2.0, 0.3, 0.1
+MEMORY = 2.0  # seconds for which upstreams drop repeats of ticketed work
+EFFECTS = ("exclusive", "ticketed", "rerunnable")
+ZONES = ("north", "east", "south")
+
+
+@dataclass(eq=False)
+class Request:
+    """One try of a client's, at one member."""
+
+    name: bytes
+    effect: str
+    until: float
+    repeat: bool
+    number: int
+    member: Host | None = None
+    end: str = ""
+
+
+@dataclass
+class Timetable:
+    """What goes wrong: how often a second each, over the fleet, and for how long."""
+
+    crash: float = 0.5
+    pause: float = 0.5
+    cut: float = 0.5
+    one_way: float = 0.3
+    reset: float = 0.5
+    arbiter: float = 0.1
+    longest: float = 1.5
+
+
+class Link:
+    """One connection between two members; each side ends by itself."""
+
+    def __init__(self, ends: tuple[Host, Host]) -> None:
+        self.ends = ends
+        self.open = {end.id: True for end in ends}
+        self.heard = {end.id: ends[0].world.now for end in ends}
+        self.last = {end.id: 0.0 for end in ends}  # when the last frame to that end arrives
+        self.waiting: dict[str, list[Callable[[], None]]] = {end.id: [] for end in ends}
+
+    def other(self, host: Host) -> Host:
+        return self.ends[1] if self.ends[0] is host else self.ends[0]
+
+
+class Host:
+    """One member: `Covering`, a host that decides by the plainest rules, and what a process is."""
+
+    def __init__(self, world: World, name: str, number: int) -> None:
+        self.world, self.name = world, name
+        self.id = f"{name}.{number:06d}"
+        self.member = Member(self.id, name, "", ZONES[int(name[1:]) % len(ZONES)], term=number)
+        self.covering: Any = world.kind(self.id, EXPIRY, 1, 1 << 30, self, world.now)
+        self.links: dict[str, Link] = {}
+        self.alive, self.paused_until = True, 0.0
+        self.deferred: list[Callable[[], None]] = []
+        self.tries: dict[Item, int] = {}
+        self.renewed_at = world.now
+
+    # What happens to a process.
+
+    def does(self, what: Callable[[], None]) -> None:
+        """Now, or once it goes on; never after its end."""
+        if not self.alive:
+            return
+        if self.world.now < self.paused_until:
+            self.deferred.append(what)
+            return
+        self.covering.now = self.world.now
+        what()
+
+    def later(self, after: float, what: Callable[[], None]) -> None:
+        self.world.at(self.world.now + after, lambda: self.does(what))
+
+    def goes_on(self) -> None:
+        if self.world.now < self.paused_until:
+            return
+        waiting, self.deferred = self.deferred, []
+        for what in waiting:
+            self.does(what)
+
+    # The door.
+
+    def say(self, member: str, frame: Frame) -> bool:
+        link = self.links.get(member)
+        if link is None or not link.open[self.id]:
+            return False
+        self.world.send(link, self, copy.deepcopy(frame))
+        return True
+
+    def go(self, item: Item, number: int) -> None:
+        # A pause may fall between the word and the write.
+        asked = item.intents[number].at
+        self.later(0.0002, lambda: self._write(item, number, asked))
+
+    def _write(self, item: Item, number: int, asked: float) -> None:
+        if self.world.now > asked + SILENCE:
+            # As the program does: a pause has fallen between the intent and the write.
+            self.covering.ended(item, number, UNSENT)
+            self._again(item)
+            return
+        self.world.run(self, item, number, item.epoch)
+        took = self.world.chance.lognormvariate(0, 0.4) * SERVICE
+        self.later(took, lambda: self._finished(item))
+
+    def _finished(self, item: Item) -> None:
+        given = self.covering.answered(item, Reply(200, body=item.key))
+        if given is not None:
+            self._answer_main(item, given)
+
+    def _answer_main(self, item: Item, reply: Reply) -> None:
+        if item.main is not None and not item.main.end:
+            self.world.answered(item.main, reply)
+        item.clients.pop(item.main, None)
+
+    def stop(self, item: Item, number: int) -> None:
+        self.later(0.001, lambda: self._again(item))
+
+    def _again(self, item: Item) -> None:
+        if not item.running:
+            return
+        self.tries[item] = self.tries.get(item, 0) + 1
+        if self.tries[item] < 3 and self._may_send(item):
+            self._hand_off(item)
+            return
+        self.tries.pop(item)
+        client, until = item.main, item.clients.pop(item.main, 0.0)
+        given = self.covering.answered(item, Reply(503, 0.05))
+        if given is not None:
+            if client is not None and not client.end:
+                self.world.answered(client, given)
+        elif client is not None:
+            self.covering.wait_on(item, client, until)
+
+    def decide(self, item: Item) -> None:
+        if not self._may_send(item):
+            given = self.covering.answered(item, Reply(504))
+            if given is not None:
+                self._answer_main(item, given)
+            return
+        self._hand_off(item)
+
+    def _may_send(self, item: Item) -> bool:
+        """Rule 2 and the expiry, as the program's decisions have them."""
+        risky = [i for i in item.intents if not i.fate]
+        if self.world.now >= item.until or (risky and item.effect == "exclusive"):
+            return False
+        return not risky or item.effect != "ticketed" or self.world.now < risky[0].at + MEMORY * 0.98
+
+    def _hand_off(self, item: Item) -> None:
+        number = self.covering.intend(item, Intent("u1", "north", 0, self.world.now))
+        self.covering.hand_on(item, number)
+
+    def answer(self, item: Item, client: Request, reply: Reply) -> None:
+        if not client.end:
+            self.world.answered(client, reply)
+
+    def note(self, event: str, **fields: Any) -> None:
+        self.world.notes[event] += 1
+        self.world.tell(self, event, fields)
+
+    # Clients.
+
+    def take(self, request: Request) -> None:
+        request.member = self
+        asked = Asked(b"POST", b"/x", [], b"", b"")
+        told = Cover(
+            request.name, self.id, 0, False, b"", "c", request.effect, self.world.now, request.until,
+            request.repeat, asked, [],
+        )  # fmt: skip
+        word, item = self.covering.begin(told, request, request.until)
+        if word is Word.RUN:
+            self.decide(item)
+        elif word is Word.ANSWER:
+            self.world.answered(request, item.reply)
+
+
+class World:
+    """A fleet, its links, its arbiter, upstreams and clients, from one seed."""
+
+    def __init__(
+        self, seed: int, members: int = 8, kind: Callable[..., Any] = Covering, trace: bytes | None = None
+    ) -> None:
+        self.chance = random.Random(seed)
+        self.now, self.count, self.kind, self.trace = 0.0, 0, kind, trace
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.hosts: dict[str, Host] = {}
+        self.leases: dict[str, tuple[Member, float]] = {}
+        self.arbiter_down_until = 0.0
+        self.cut: dict[tuple[str, str], float] = {}
+        self.runs: dict[bytes, list[tuple[float, str, int]]] = defaultdict(list)
+        self.effects: dict[bytes, str] = {}
+        self.holders: dict[bytes, set[str]] = {}  # who knew of its runs
+        self.lost: set[bytes] = set()  # ran again once all of those were lost: outside the promise
+        self.uncovered: set[bytes] = set()  # ran with nobody to record it: told apart, as the promise says
+        self.answers: dict[bytes, list[tuple[float, int, int]]] = defaultdict(list)
+        self.requests: list[Request] = []
+        self.open: set[int] = set()
+        self.notes: Counter[str] = Counter()
+        self.frames: Counter[str] = Counter()
+        self.started = 0
+        for number in range(members):
+            self.start(f"n{number}")
+        self.every(0.02, self._arbitrate)
+        self.every(BEAT / 2, self._watch_links)
+
+    # Time.
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (when, self.count, what))
+
+    def every(self, span: float, what: Callable[[], None]) -> None:
+        def again() -> None:
+            what()
+            self.at(self.now + span, again)
+
+        self.at(self.now + span, again)
+
+    def until(self, when: float) -> None:
+        while self.queue and self.queue[0][0] <= when:
+            self.now, _, what = heapq.heappop(self.queue)
+            what()
+        self.now = when
+
+    def tell(self, host: Host, event: str, fields: Any) -> None:
+        if self.trace is not None and str(self.trace) in str(fields):
+            print(f"{self.now:.4f} {host.id} {event} {fields}")
+
+    # Processes and links.
+
+    def start(self, name: str) -> None:
+        self.started += 1
+        host = Host(self, name, self.started)
+        self.hosts[host.id] = host
+        self.leases[host.id] = (host.member, self.now + LEASE)
+
+    def alive(self) -> list[Host]:
+        return [h for h in self.hosts.values() if h.alive]
+
+    def crash(self, host: Host, back_after: float) -> None:
+        host.alive = False
+        for link in list(host.links.values()):
+            self._close(link, host)
+        for request in self.requests:
+            if request.member is host and not request.end and request.number in self.open:
+                self._come_again(request, "reset")
+        self.at(self.now + back_after, lambda: self.start(host.name))
+        self.at(self.now + self.chance.uniform(0.02, 0.08), lambda: self._mark(host.id))
+        del self.hosts[host.id]
+
+    def _mark(self, member: str) -> None:
+        """Who sees a link reset and its member refuse another has the arbiter end its entry."""
+        if self.now >= self.arbiter_down_until:
+            self.leases.pop(member, None)
+
+    def _gone(self, one: Host, other: Host) -> bool:
+        return self.now < self.cut.get((one.name, other.name), 0.0)
+
+    def send(self, link: Link, sender: Host, frame: Frame) -> None:
+        self.frames[type(frame).__name__] += 1
+        if self.trace is not None and getattr(frame, "key", None) == self.trace:
+            print(f"{self.now:.4f} {sender.id} -> {link.other(sender).id} {frame}")
+        receiver = link.other(sender)
+        self._pass(link, sender, lambda: receiver.covering.heard(sender.id, frame))
+
+    def _pass(self, link: Link, sender: Host, what: Callable[[], None], last: bool = False) -> None:
+        """In order, after a delay; what is cut waits."""
+        receiver = link.other(sender)
+
+        def arrives() -> None:
+            if self._gone(sender, receiver):
+                link.last[receiver.id] = max(link.last[receiver.id], self.now + 0.01)
+                self.at(link.last[receiver.id], arrives)
+                return
+            if receiver.alive and (link.open[receiver.id]):
+                receiver.does(lambda: what() if link.open[receiver.id] else None)
+
+        when = max(link.last[receiver.id], self.now + self.chance.uniform(0.0003, 0.003))
+        link.last[receiver.id] = when
+        self.at(when, arrives)
+
+    def _close(self, link: Link, host: Host) -> None:
+        """One side ends; the other hears of it in order, if the way is open."""
+        if not link.open[host.id]:
+            return
+        link.open[host.id] = False
+        other = link.other(host)
+        if host.links.get(other.id) is link:
+            del host.links[other.id]
+            if host.alive:
+                host.covering.now = self.now
+                host.covering.down(other.id)
+        self._pass(link, host, lambda: self._close(link, other))
+
+    def _watch_links(self) -> None:
+        alive = self.alive()
+        for host in alive:
+            if self.now < host.paused_until:
+                continue
+            for link in list(host.links.values()):
+                other = link.other(host)
+                speaks = other.alive and self.now >= other.paused_until and link.open[other.id]
+                if speaks and not self._gone(other, host):
+                    link.heard[host.id] = self.now
+                    beat = Beat(other.covering.view.digest, not other.covering.may_decide())
+                    host.covering.now = self.now
+                    host.covering.heard(other.id, beat)
+                elif self.now > link.heard[host.id] + SILENCE:
+                    self._close(link, host)
+        able = [h for h in alive if self.now >= h.paused_until]
+        for place, one in enumerate(able):
+            for other in able[place + 1 :]:
+                if other.id in one.links or one.id in other.links:
+                    continue
+                if self._gone(one, other) or self._gone(other, one) or self.chance.random() < 0.3:
+                    continue
+                if other.id in one.covering.view and one.id in other.covering.view:
+                    link = Link((one, other))
+                    one.links[other.id] = other.links[one.id] = link
+                    for host, peer in ((one, other), (other, one)):
+                        host.does(lambda h=host, o=peer: h.covering.up(o.id))
+        for host in able:
+            if host.covering.next_at() <= self.now:
+                host.does(host.covering.tick)
+
+    def _arbitrate(self) -> None:
+        if self.now < self.arbiter_down_until:
+            return
+        for host in self.alive():
+            if self.now < host.paused_until:
+                continue
+            if host.id not in self.leases:
+                self.started += 1
+                host.member = Member(host.id, host.name, "", host.member.zone, term=self.started)
+                self.leases[host.id] = (host.member, self.now + LEASE)
+                host.renewed_at = self.now
+            elif self.now >= host.renewed_at + LEASE / 3:
+                asked = host.renewed_at = self.now
+                self.leases[host.id] = (host.member, asked + LEASE)
+            host.covering.lease_until = host.renewed_at + LEASE
+        for member in [m for m, (_, until) in self.leases.items() if until <= self.now]:
+            del self.leases[member]
+        view = View(member for member, _ in self.leases.values())
+        if view.digest == getattr(self, "last_view", None):
+            return
+        self.last_view = view.digest
+        for host in self.alive():
+            # Each learns of each view, in order, in its own time.
+            delay = self.chance.uniform(0.001, 0.03)
+            self.at(self.now + delay, lambda h=host: h.does(lambda: h.covering.viewed(view, gap=False)))
+
+    # Upstreams and clients.
+
+    def run(self, host: Host, item: Item, number: int, epoch: int) -> None:
+        self.runs[item.key].append((self.now, host.id, epoch))
+        known = self.holders.get(item.key)
+        if known is not None and not known & set(self.hosts):
+            self.lost.add(item.key)
+        self.holders[item.key] = {host.id, *item.keepers, *(known or ())}
+        if not item.keepers and len(host.covering.view.members) != 1:
+            self.uncovered.add(item.key)
+        if self.trace == item.key:
+            print(f"{self.now:.4f} {host.id} RUNS {number} of epoch {epoch}")
+
+    def ask(self, name: bytes, effect: str, until: float, repeat: bool = False) -> None:
+        alive = self.alive()
+        if not alive:
+            return
+        host = self.chance.choice([h for h in alive if h.id in h.covering.view] or alive)
+        self.effects[name] = effect
+        request = Request(name, effect, until, repeat, len(self.requests))
+        self.requests.append(request)
+        self.open.add(request.number)
+        request.member = host
+        if self.trace == name:
+            print(f"{self.now:.4f} client asks {host.id}, repeat {repeat}")
+        host.does(lambda: host.take(request))
+        self.at(until, lambda: self._late(request))
+
+    def _late(self, request: Request) -> None:
+        if not request.end:
+            request.end = "late"
+            self.open.discard(request.number)
+
+    def answered(self, request: Request, reply: Reply) -> None:
+        if request.end:
+            return
+        request.end = str(reply.status)
+        self.open.discard(request.number)
+        if self.trace == request.name:
+            print(f"{self.now:.4f} answer {reply.status} for try {request.number}")
+        self.answers[request.name].append((self.now, reply.status, request.number))
+        if reply.status == 503:
+            self._come_again(request, "503", max(reply.come_back, 0.02))
+
+    def _come_again(self, request: Request, end: str, after: float = 0.02) -> None:
+        request.end = request.end or end
+        self.open.discard(request.number)
+        if self.now + after < request.until - 0.02:
+            self.at(
+                self.now + after, lambda: self.ask(request.name, request.effect, request.until, repeat=True)
+            )
+
+    # Playing.
+
+    def play(self, seconds: float, rate: float, faults: Timetable, twins: float = 0.05) -> None:
+        """Work for so long, with faults; then what is open comes to its end."""
+        start = self.now + 1.0
+        self.until(start)
+        for number in range(int(rate * seconds)):
+            at, name = start + number / rate, f"w{number}".encode()
+            effect = EFFECTS[number % 3]
+            self.at(at, lambda n=name, e=effect, a=at: self.ask(n, e, a + EXPIRY))
+            if self.chance.random() < twins:
+                self.at(at, lambda n=name, e=effect, a=at: self.ask(n, e, a + EXPIRY))
+        for what, often in vars(faults).items():
+            if what == "longest":
+                continue
+            for _ in range(int(often * seconds) + (self.chance.random() < often * seconds % 1)):
+                at = start + self.chance.uniform(0, seconds)
+                lasts = self.chance.uniform(0.05, faults.longest)
+                self.at(at, lambda w=what, t=lasts: getattr(self, "_fault_" + w)(t))
+        self.until(start + seconds + 2 * EXPIRY)
+
+    def _pair(self) -> list[Host]:
+        alive = self.alive()
+        return self.chance.sample(alive, 2) if len(alive) > 2 else []
+
+    def _fault_crash(self, lasts: float) -> None:
+        alive = self.alive()
+        if len(alive) > 2:
+            self.crash(self.chance.choice(alive), back_after=lasts)
+
+    def _fault_pause(self, lasts: float) -> None:
+        if alive := self.alive():
+            host = self.chance.choice(alive)
+            host.paused_until = self.now + lasts
+            self.at(host.paused_until, host.goes_on)
+
+    def _fault_cut(self, lasts: float) -> None:
+        if pair := self._pair():
+            for one, other in (pair, pair[::-1]):
+                self.cut[one.name, other.name] = self.now + lasts
+
+    def _fault_one_way(self, lasts: float) -> None:
+        if pair := self._pair():
+            self.cut[pair[0].name, pair[1].name] = self.now + lasts
+
+    def _fault_reset(self, lasts: float) -> None:
+        hosts = [h for h in self.alive() if h.links and self.now >= h.paused_until]
+        if hosts:
+            host = self.chance.choice(hosts)
+            self._close(self.chance.choice(list(host.links.values())), host)
+
+    def _fault_arbiter(self, lasts: float) -> None:
+        self.arbiter_down_until = self.now + lasts
+
+    # Verdicts.
+
+    def broken(self) -> list[str]:
+        """Promises that were not kept, from what upstreams and clients saw."""
+        told = []
+        for name, runs in self.runs.items():
+            effect = self.effects[name]
+            if name in self.uncovered or name in self.lost:
+                continue
+            if effect == "exclusive" and len(runs) > 1:
+                told.append(f"once: {name!r} ran {len(runs)} times: {runs}")
+            if effect == "ticketed" and runs[-1][0] > runs[0][0] + MEMORY:
+                told.append(f"ticketed: {name!r} ran again after {runs[-1][0] - runs[0][0]:.3f} s")
+        for name, answers in self.answers.items():
+            if any(status == 200 for _, status, _ in answers) and name not in self.runs:
+                told.append(f"no such answer: {name!r}: {answers}")
+        return told
+
+    def finished(self, names: Iterable[bytes]) -> int:
+        return sum(any(s == 200 for _, s, _ in self.answers[n]) for n in names)
+
+
+@dataclass
+class Outcome:
+    seed: int
+    counts: dict[str, int] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+
+
+def play(
+    seed: int,
+    members: int = 8,
+    seconds: float = 6.0,
+    rate: float = 150.0,
+    faults: Timetable | None = None,
+    kind: Callable[..., Any] = Covering,
+    trace: bytes | None = None,
+) -> Outcome:
+    """One seed; `kind` may be a broken variant that the checks must catch."""
+    world = World(seed, members, kind, trace)
+    world.play(seconds, rate, faults or Timetable())
+    ends = Counter(r.end or "open" for r in world.requests)
+    names = list(world.effects)
+    counts = {"work": len(names), "finished": world.finished(names), **dict(sorted(ends.items()))}
+    again = [n for n in world.uncovered if world.effects[n] == "exclusive" and len(world.runs[n]) > 1]
+    counts |= {"ran uncovered": len(world.uncovered), "of these exclusive, twice": len(again)}
+    counts["all lost"] = len(world.lost)
+    counts |= {"frames": sum(world.frames.values())} | dict(sorted(world.notes.items()))
+    return Outcome(seed, counts, world.broken())
+
+
+__all__ = ["Outcome", "Timetable", "UNSENT", "World", "play"]
