--- a/standins/clients.py
+++ b/standins/clients.py
@@ -54,7 +54,12 @@
         self.avoid: set[str] = set()  # sidecars that no client goes to at first
 
     async def send(
-        self, rate: float, seconds: float, categories: dict[str, float], named: bool = True
+        self,
+        rate: float,
+        seconds: float,
+        categories: dict[str, float],
+        named: bool = True,
+        twins: float = 0.0,
     ) -> None:
         """So many pieces of work a second, each sent when it is due, however the ones before fare."""
         loop = asyncio.get_running_loop()
@@ -63,8 +68,10 @@
             due = start + number / rate
             await asyncio.sleep(max(0.0, due - loop.time()))
             category = self.chance.choices([*categories], [*categories.values()])[0]
-            home = self.chance.choice([n for n in self.names if n not in self.avoid] or self.names)
-            self.begin(f"w{len(self.done)}", category, home, named)
+            able = [n for n in self.names if n not in self.avoid] or self.names
+            home = self.chance.choice(able)
+            twin = self.chance.choice(able) if self.chance.random() < twins else ""
+            self.begin(f"w{len(self.done)}", category, home, named, twin)
 
     def begin(self, name: str, category: str, sidecar: str, named: bool = True, twin: str = "") -> Work:
         now = asyncio.get_running_loop().time()
--- a/starlingwheel/net/fleet/arbiter.py
+++ b/starlingwheel/net/fleet/arbiter.py
@@ -23,7 +23,7 @@
 from ..loop import READ, WRITE, Loop, Ready
 from ..memory.buffers import Pool
 from ..wire.http import Lost, Stream, connect
-from .mail import Lapsed, Renewed, Viewed
+from .mail import Lapsed, Renewed, Strike, Viewed
 
 WITHIN = 1 / 3  # of the lease within which a call is answered, or given up
 RENEW = 1 / 3  # of the lease after which it is renewed
@@ -277,6 +277,34 @@
                 raise Unfit("lease-ended")
 
 
+class Clerk(Speaker):
+    """Ends the entries of members whose process has ended, so that nobody waits for their leases."""
+
+    def __init__(self, *given: Any, fleet: str) -> None:
+        super().__init__(*given)
+        self.prefix = f"/{fleet}/members/"
+
+    def work(self) -> Coroutine[None]:
+        while True:
+            mail = yield None
+            if isinstance(mail, Ready):
+                self.hang_up()
+            if isinstance(mail, Strike):
+                # Guards against all members asking in the same moment; the first one does.
+                yield from self.wait(self.loop.now() + self.chance.random() * PAUSES[0])
+                yield from self._strike(mail.member)
+
+    def _strike(self, member: Member) -> Coroutine[None]:
+        key = b64(self.prefix + member.id)
+        # Only the entry that we know of: it may have entered anew.
+        same = {"key": key, "target": "CREATE", "result": "EQUAL", "create_revision": str(member.term)}
+        erase = {"request_delete_range": {"key": key}}
+        decided = yield from self.call(TXN, {"compare": [same], "success": [erase]}, Decided)
+        self.well()
+        if decided.succeeded:
+            self.log("member.struck", member=member.id)
+
+
 class Onlooker(Speaker):
     """Follows the members: the whole set, then each change of it, in order."""
 
--- a/starlingwheel/net/fleet/connection.py
+++ b/starlingwheel/net/fleet/connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from ...decisions.terms import Fate
 from ..actor import Coroutine
 from ..loop import READ, Ready
@@ -9,9 +11,12 @@
 from ..memory.work import Errand
 from ..wire.http import Lost
 from ..wire.upstream import Connection
+from .links import BEAT, SILENCE
 from .mail import Released
 
 WITHHELD = "withheld"
+# Seconds for which an intent is good: so long a silent member is waited for.
+PROMPT = SILENCE * BEAT
 
 
 class HoldingConnection(Connection):
@@ -31,7 +36,7 @@
             self.stream.unwritten.append(last)
         yield from super()._write(errand)
 
-    def _until_released(self, errand: Errand, gate: object) -> Coroutine[None]:
+    def _until_released(self, errand: Errand, gate: Any) -> Coroutine[None]:
         """Guards against an effect that nobody else knows of once its sidecar is lost."""
         self.stream.want(READ)
         while not gate.open:
@@ -42,4 +47,6 @@
                 self._still_unanswered(mail)
             elif (isinstance(mail, Drop) and mail.errand is errand) or self.loop.now() >= errand.until:
                 raise Lost(WITHHELD)
-        gate.passed = True
+        if self.loop.now() > gate.asked + PROMPT:
+            # Guards against a pause between the intent and the last byte: others may have gone on since.
+            raise Lost(WITHHELD)
--- a/starlingwheel/net/fleet/links.py
+++ b/starlingwheel/net/fleet/links.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import random
 import socket
 from collections import Counter
@@ -16,12 +17,12 @@
 import msgspec
 
 from ...fleet.frames import LONGEST, VERSION, Beat, Frame, Hello
-from ...fleet.view import View
+from ...fleet.view import Member, View
 from ..actor import Actor, Coroutine
 from ..loop import READ, WRITE, Loop, Ready
 from ..mail import CLOSE
 from ..wire.address import split
-from .mail import Framed, LinkDown, LinkUp, Say, Viewed
+from .mail import Framed, LinkDown, LinkUp, Say, Strike, Viewed
 
 BEAT = 0.1  # seconds between words when there is nothing else to say
 SILENCE = 3.0  # times that without a byte after which a link counts as lost
@@ -30,6 +31,7 @@
 UNSENT = 8 * LONGEST  # bytes that wait for a slow member, at most
 MOST = 64  # links that have not said yet whose they are
 CHUNK = 65536
+ENDED = ("reset", "closed")  # how links end whose member's process does
 HEAD = 4  # bytes of a length
 
 encoder = msgspec.msgpack.Encoder()
@@ -170,6 +172,8 @@
             del self.links[member]
             self.log("link.down", member=member, reason=reason)
             self.tell(LinkDown(member, link))
+            if reason in ENDED and member in self.view:
+                Knock(self, self.view.members[member]).begin()
         elif reason not in ("refused", "never-came-up", "stranger"):
             self.log("link.refused", member=member, reason=reason)
         if member > self.me.member and member in self.view and member not in self.links:
@@ -178,6 +182,45 @@
             self.post(None)  # it waits for a time anew
 
 
+class Knock(Actor):
+    """Sees whether anybody listens where a member did whose link was reset.
+
+    Whoever listens greets. A refusal, or an end without a word, says that its process has ended, sooner than
+    its lease does; silence says nothing. One that was struck wrongly enters anew.
+    """
+
+    def __init__(self, links: Links, member: Member) -> None:
+        self.links, self.member = links, member
+        super().__init__(links.loop)
+
+    def run(self) -> Coroutine[None]:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            with contextlib.suppress(BlockingIOError):
+                sock.connect(split(self.member.address))
+            self.loop.watch(sock.fileno(), self, WRITE)
+            until = self.loop.now() + GREETING
+            if (yield until) is not None:
+                self.loop.change(sock.fileno(), READ)
+                if (yield until) is not None and self._ended(sock) and self.member.id in self.links.view:
+                    self.links.log("member.gone", member=self.member.id)
+                    self.links.tell(Strike(self.member))
+        except (OSError, ValueError, OverflowError):
+            pass
+        finally:
+            self.loop.forget(sock.fileno())
+            sock.close()
+
+    def _ended(self, sock: socket.socket) -> bool:
+        try:
+            return not sock.recv(1)
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            return error.errno in (errno.ECONNREFUSED, errno.ECONNRESET)
+
+
 class Link(Actor):
     """One connection to a member, from its first byte to its end."""
 
--- a/starlingwheel/net/fleet/mail.py
+++ b/starlingwheel/net/fleet/mail.py
@@ -54,6 +54,13 @@
     until: float
 
 
+@dataclass(slots=True, eq=False)
+class Strike:
+    """To the arbiter's client: nobody listens at that member's address any more."""
+
+    member: Member
+
+
 @dataclass(slots=True, eq=False)
 class Lapsed:
     """To the arbiter's client: our own entry has gone."""
@@ -64,6 +71,3 @@
     """To a connection: the hand-off that it holds back may be written whole."""
 
     errand: Any
-
-
-__all__ = ["Framed", "Lapsed", "LinkDown", "LinkUp", "Member", "Released", "Renewed", "Say", "Viewed"]
--- a/starlingwheel/net/fleet/module.py
+++ b/starlingwheel/net/fleet/module.py
@@ -32,11 +32,11 @@
 class Gate:
     """Whether a hand-off may be written whole."""
 
-    __slots__ = ("item", "number", "open", "passed")
+    __slots__ = ("item", "number", "asked", "open")
 
-    def __init__(self, item: Item, number: int) -> None:
-        self.item, self.number = item, number
-        self.open = self.passed = False
+    def __init__(self, item: Item, number: int, asked: float) -> None:
+        self.item, self.number, self.asked = item, number, asked
+        self.open = False
 
 
 class Nobody:
@@ -264,7 +264,7 @@
         listing = ho.upstream.listing
         intent = Intent(listing.address, listing.zone, listing.cell, self.runner.now)
         number = self.covering.intend(item, intent)
-        self.gates[errand] = Gate(item, number)
+        self.gates[errand] = Gate(item, number, self.runner.now)
         self.errands[item, number] = errand
         self.covering.hand_on(item, number)
 
--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -8,10 +8,10 @@
 
 from ...fleet.part import FleetPart
 from ...fleet.view import Member
-from .arbiter import Lessee, Onlooker
+from .arbiter import Clerk, Lessee, Onlooker
 from .connection import HoldingConnection
 from .links import Links, greeting
-from .mail import Viewed
+from .mail import Strike, Viewed
 from .module import CoveringModule
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
         given = (node.loop, part.arbiter, float(part.lease_s), node.pool, node.log, chance)
         self.lessee = Lessee(*given, fleet=part.name, member=member, tell=self._tell)
         self.onlooker = Onlooker(*given, fleet=part.name, member=member, tell=self._tell)
+        self.clerk = Clerk(*given, fleet=part.name)
         self.module = CoveringModule(node, self.me, part.cover, self.lessee.post)
         self.links = Links(
             node.loop, sock, greeting(part.name, self.me), self._tell, self.module.beat, node.log, chance
@@ -37,10 +38,13 @@
         node.connection = HoldingConnection
 
     def _tell(self, mail: Any) -> None:
+        if isinstance(mail, Strike):
+            self.clerk.post(mail)
+            return
         self.module.post(mail)
         if isinstance(mail, Viewed):
             self.links.post(mail)
 
     def begin(self) -> None:
-        for actor in (self.links, self.lessee, self.onlooker):
+        for actor in (self.links, self.lessee, self.onlooker, self.clerk):
             actor.begin()
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -8,10 +8,10 @@
 import sys
 from pathlib import Path
 
-from . import loss
+from . import loss, storm
 from .rig import ROOT
 
-TRIALS = {"loss": loss.play}
+TRIALS = {"loss": loss.play, "losses": storm.losses, "storm": storm.storm}
 
 
 def main() -> int:
@@ -21,11 +21,12 @@
     parser.add_argument("--seeds", type=int, default=1, help="so many seeds in a row (default: 1)")
     parser.add_argument("--root", type=Path, default=ROOT, help="another checkout whose program is played")
     parser.add_argument("--alone", action="store_true", help="without a fleet: each sidecar by itself")
-    parser.add_argument("--sidecars", type=int, default=5, help="processes of the program (default: 5)")
+    parser.add_argument("--sidecars", type=int, help="processes of the program")
     given = parser.parse_args()
     kept = True
     for seed in range(given.seed, given.seed + given.seeds):
-        trial = TRIALS[given.trial](seed, given.sidecars, root=given.root, fleet=not given.alone)
+        more = {"sidecars": given.sidecars} if given.sidecars else {}
+        trial = TRIALS[given.trial](seed, root=given.root, fleet=not given.alone, **more)
         verdict = asyncio.run(trial)
         print(json.dumps({"trial": given.trial, "seed": seed, "kept": verdict.kept, **verdict.counts}))
         for one in verdict.broken:
--- a/trials/emulated.py
+++ b/trials/emulated.py
@@ -377,7 +377,7 @@
     def run(self, host: Host, item: Item, number: int, epoch: int) -> None:
         self.runs[item.key].append((self.now, host.id, epoch))
         known = self.holders.get(item.key)
-        if known is not None and not known & set(self.hosts):
+        if known is not None and not known & set(self.leases):
             self.lost.add(item.key)
         self.holders[item.key] = {host.id, *item.keepers, *(known or ())}
         if not item.keepers and len(host.covering.view.members) != 1:
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -105,6 +105,7 @@
         } | self.rig.further(self)
 
     def start(self) -> None:
+        """Also again: with the same name and addresses, and a seed of its own."""
         self.paths["json"].write_text(json.dumps(self.configuration()))
         with self.paths["log"].open("ab") as log:
             self.process = subprocess.Popen(
--- /dev/null
+++ b/trials/storm.py
@@ -0,0 +1,85 @@
+"""Many losses, one after another, under work of all kinds; and the same with links and arbiter spoilt too."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from standins.clients import Work
+
+from .rig import ROOT, Rig
+from .timetable import ARBITER, LINKS, LOSSES, Lost, Player, drawn
+from .verdict import Verdict, judge
+
+MIX = {"look": 1.0, "buy": 1.0, "move": 1.0}
+LEFT = 0.4  # seconds that a work item has left at a loss, for the promise that it is finished
+
+
+async def losses(
+    seed: int, sidecars: int = 8, root: Path = ROOT, fleet: bool = True, rate: float = 120.0, count: int = 30
+) -> Verdict:
+    """Processes killed and stopped, one at a time, each back before the next."""
+    return await _play(seed, sidecars, root, fleet, rate, count, LOSSES, every=0.9, longest=0.6)
+
+
+async def storm(
+    seed: int, sidecars: int = 8, root: Path = ROOT, fleet: bool = True, rate: float = 120.0, count: int = 40
+) -> Verdict:
+    """Everything, and several things at once."""
+    kinds = LOSSES | LINKS | ARBITER
+    return await _play(seed, sidecars, root, fleet, rate, count, kinds, every=0.4, longest=1.5)
+
+
+async def _play(
+    seed: int,
+    sidecars: int,
+    root: Path,
+    fleet: bool,
+    rate: float,
+    count: int,
+    kinds: dict[str, float],
+    every: float,
+    longest: float,
+) -> Verdict:
+    async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
+        start = asyncio.get_running_loop().time()
+        player = Player(rig)
+        sending = asyncio.create_task(rig.clients.send(rate, count * every, MIX, twins=0.05))
+        await player.play(drawn(seed, count, every, kinds, sidecars, longest))
+        await sending
+        await rig.clients.rest(rig.clients.waits + 1)
+        verdict = judge(rig.clients.done, rig.runs, start)
+        _at_the_losses(verdict, rig, player.lost)
+        verdict.counts["defects"] = sum(
+            len(s.logged("defect")) + len(s.logged("module.defect")) for s in rig.sidecars
+        )
+        if verdict.counts["defects"]:
+            lines = [line for s in rig.sidecars for line in s.logged("defect") + s.logged("module.defect")]
+            verdict.broken.append(f"a defect: {lines[0]}")
+        return verdict
+
+
+def _at_the_losses(verdict: Verdict, rig: Rig, lost: list[Lost]) -> None:
+    """What became of the work that was in hand where a process was killed."""
+    hurt: list[Work] = []
+    waits = []
+    for loss in lost:
+        for work in rig.clients.done:
+            cut_off = any(t.sidecar == loss.name and t.at < loss.at <= (t.ended or 1e18) for t in work.tries)
+            if not cut_off or work.until < loss.at + LEFT or work.twin:
+                continue
+            hurt.append(work)
+            later = [r.at - loss.at for r in rig.of(work.name) if r.at > loss.at and r.sidecar != loss.name]
+            if work.category != "buy" and later:
+                waits.append(min(later))
+    free = [w for w in hurt if w.category != "buy"]
+    verdict.counts |= {
+        "losses": len(lost),
+        "in hand at a loss": len(hurt),
+        "free or ticketed of these": len(free),
+        "of those finished": sum(w.finished for w in free),
+    }
+    if waits:
+        waits.sort()
+        verdict.counts["taken over after ms, median"] = round(waits[len(waits) // 2] * 1000)
+        verdict.counts["taken over after ms, worst"] = round(waits[-1] * 1000)
--- a/trials/verdict.py
+++ b/trials/verdict.py
@@ -8,7 +8,8 @@
 from standins.clients import Work
 from standins.upstream import Run
 
-EXCLUSIVE = {"buy"}
+EXCLUSIVE, TICKETED = {"buy"}, {"move"}
+MEMORY = 2.0  # seconds for which upstreams drop repeats of ticketed work
 
 
 @dataclass
@@ -52,6 +53,11 @@
         if work.category in EXCLUSIVE and len(ran) > 1:
             ends["ran twice"] += 1
             verdict.broken.append(f"once: {work.name} ran {len(ran)} times: {way(work, ran, start)}")
+        last = work.answers[-1:] if not work.twin else []
+        if work.finished and last and last[-1] == "503":
+            verdict.broken.append(f"contradicted: {work.name}: {way(work, ran, start)}")
+        if work.category in TICKETED and ran and ran[-1].at > ran[0].at + MEMORY:
+            verdict.broken.append(f"ticketed: {work.name} ran too late: {way(work, ran, start)}")
         if work.finished and not ran:
             ends["finished, never ran"] += 1
             verdict.broken.append(f"no such answer: {work.name}: {way(work, ran, start)}")
