No second answer on a connection, no start without a view: what storms on real sidecars found

Followed by its id: a request whose home could not be reached was deferred inside Covering.begin, which then still said RUN, so the decisions ended it a second time; the second answer went to the next request on the client's connection. Checked and ruled out: connections to upstreams (each errand's answer was its own), the record of answers (right key). Lines at fault: _give_up left the state OWNING; nothing in the module kept a Final for an answered job from its client. A sidecar with a fleet is ready once others can see it, or after eight leases without an arbiter. A defect in the arbiter's client: word of a gone entry during its pause ended the actor.

--- a/standins/http1.py
+++ b/standins/http1.py
@@ -61,6 +61,8 @@
         return f"{self.host}:{self.port}"
 
     async def begin(self) -> None:
+        if self.server is not None:
+            return
         self.server = await asyncio.start_server(self._connection, self.host, self.port, backlog=512)
         self.port = self.server.sockets[0].getsockname()[1]
 
--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -480,10 +480,11 @@
         """At once: nothing was sent for it by us, and whoever has it in hand goes on."""
         self.counts["given_up"] += 1
         self.door.note("cover.given_up", reason=reason)
+        item.reply, item.state = Reply(DEFERRED, come_back=COME_BACK * self.longest), State.DONE
         self._forget(item)
         clients, item.clients = item.clients, {}
         for client in clients:
-            self.door.answer(item, client, Reply(DEFERRED, come_back=COME_BACK * self.longest))
+            self.door.answer(item, client, item.reply)
 
     def _let_go(self, item: Item) -> None:
         """Hand-offs whose intents all keepers have recorded."""
--- a/starlingwheel/net/fleet/arbiter.py
+++ b/starlingwheel/net/fleet/arbiter.py
@@ -142,7 +142,9 @@
                     self.log("arbiter.failed", reason=str(error), address=self.at, actor=type(self).__name__)
                 self.turn += 1  # another one may be up
                 self.pause = min(max(2 * self.pause, PAUSES[0]), PAUSES[1])
-                yield from self.wait(self.loop.now() + self.pause * (0.5 + self.chance.random()))
+                until = self.loop.now() + self.pause * (0.5 + self.chance.random())
+                while self.loop.now() < until:
+                    yield until
 
     def work(self) -> Coroutine[None]:
         """One stay; ends by `Lost` or `Unfit`."""
--- a/starlingwheel/net/fleet/module.py
+++ b/starlingwheel/net/fleet/module.py
@@ -47,6 +47,9 @@
             mail.answer.body.release()
 
 
+NOBODY = Nobody()
+
+
 class CoveringModule(Module):
     def __init__(self, node: Node, me: str, part: CoverPart, lapsed: Callable[[Lapsed], None]) -> None:
         """`lapsed` is told when our own entry has gone from the view."""
@@ -155,7 +158,7 @@
         over = self.covering.left(item, job)
         if not over and job.wi in self.jobs and job.owed:
             # Whoever comes again under its name gets its answer: it goes on with nobody waiting.
-            job.client = Nobody()
+            job.client = NOBODY
             return
         self.items.pop(job.wi, None)
         if job.wi in self.jobs:
@@ -199,7 +202,7 @@
             body.release()
             self._settled(item, Reply(WRITTEN_OFF))
             return
-        client = Nobody() if job is None else job.client
+        client = NOBODY if job is None else job.client
         new = Job(wi, client, asked.method, asked.target, asked.headers, body, asked.trace)
         if job is not None:
             # What its client says of the former one is said of this one.
@@ -237,7 +240,7 @@
         deciding = job.wi in self.jobs
         if not deciding:
             job.body.release()
-        super()._final(job, self._made(reply), KINDS.get(reply.status, "written_off"))
+        self._give(job, self._made(reply), KINDS.get(reply.status, "written_off"))
         if deciding:
             self.runner.gone(job.wi)
             self._forget_if_closed(job)
@@ -278,7 +281,7 @@
     def _final(self, job: Job, final: Final, how: str) -> None:
         item = self.items.pop(job.wi, None)
         if item is None:
-            super()._final(job, final, how)
+            self._give(job, final, how)
             return
         until = item.clients.pop(job, inf)
         reply = Reply(final.status, final.come_back)
@@ -290,14 +293,19 @@
         given = self.covering.answered(item, reply)
         if given is None:
             job.owed = False
-            if not isinstance(job.client, Nobody):
+            if job.client is not NOBODY:
                 self.covering.wait_on(item, job, until)
                 self.items[job.wi] = item
             return
         if given is not reply and final.answer is None:
             final = self._made(given)
             how = KINDS.get(given.status, how)
+        self._give(job, final, how)
+
+    def _give(self, job: Job, final: Final, how: str) -> None:
         super()._final(job, final, how)
+        # Guards against a second answer being taken for that of the next request on its connection.
+        job.client = NOBODY
 
 
 KINDS = {200: "finished", 503: "deferred", 504: "written_off"}
--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from ...fleet.part import FleetPart
@@ -18,6 +19,9 @@
     from ..lifecycle.start import Node
 
 
+LATE = 8.0  # leases after which a sidecar that can't reach the arbiter serves all the same, uncovered
+
+
 class Fleet:
     """One sidecar's actors of the fleet."""
 
@@ -30,6 +34,7 @@
         given = (node.loop, part.arbiter, float(part.lease_s), node.pool, node.log, chance)
         self.lessee = Lessee(*given, fleet=part.name, member=member, tell=self._tell)
         self.onlooker = Onlooker(*given, fleet=part.name, member=member, tell=self._tell)
+        self.loop, self.lease, self.late_at = node.loop, part.lease_s, inf
         self.clerk = Clerk(*given, fleet=part.name)
         self.module = CoveringModule(node, self.me, part.cover, self.lessee.post)
         self.links = Links(
@@ -37,6 +42,14 @@
         )
         node.connection = HoldingConnection
 
+    @property
+    def joined(self) -> bool:
+        """Others can see us, or the arbiter has been out of reach for too long to wait for it.
+
+        Guards against a sidecar that starts while the arbiter is gone doing what is in hand elsewhere.
+        """
+        return self.me in self.module.covering.view or self.loop.now() > self.late_at
+
     def _tell(self, mail: Any) -> None:
         if isinstance(mail, Strike):
             self.clerk.post(mail)
@@ -46,5 +59,6 @@
             self.links.post(mail)
 
     def begin(self) -> None:
+        self.late_at = self.loop.now() + LATE * self.lease
         for actor in (self.links, self.lessee, self.onlooker, self.clerk):
             actor.begin()
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -181,12 +181,17 @@
 
     @property
     def takes_clients(self) -> bool:
-        return self.module.listed and not self.stopping
+        return self.module.listed and not self.stopping and self._joined
 
     @property
     def ready(self) -> bool:
         """What the front is told. One that is being replaced does not speak for the sidecar."""
-        return self.module.listed and not (self.stopping and not self.passed) and not self.lameduck
+        stays = not (self.stopping and not self.passed) and not self.lameduck
+        return self.module.listed and stays and self._joined
+
+    @property
+    def _joined(self) -> bool:
+        return self.fleet is None or self.fleet.joined
 
     @property
     def lameduck(self) -> bool:
--- a/trials/emulated.py
+++ b/trials/emulated.py
@@ -218,6 +218,7 @@
         self.answers: dict[bytes, list[tuple[float, int, int]]] = defaultdict(list)
         self.requests: list[Request] = []
         self.open: set[int] = set()
+        self.twice: list[Request] = []  # given a second final answer
         self.notes: Counter[str] = Counter()
         self.frames: Counter[str] = Counter()
         self.started = 0
@@ -407,6 +408,8 @@
 
     def answered(self, request: Request, reply: Reply) -> None:
         if request.end:
+            if request.end.isdigit():
+                self.twice.append(request)
             return
         request.end = str(reply.status)
         self.open.discard(request.number)
@@ -482,7 +485,7 @@
 
     def broken(self) -> list[str]:
         """Promises that were not kept, from what upstreams and clients saw."""
-        told = []
+        told = [f"answered twice: {r.name!r} try {r.number}" for r in self.twice]
         for name, runs in self.runs.items():
             effect = self.effects[name]
             if name in self.uncovered or name in self.lost:
--- a/trials/verdict.py
+++ b/trials/verdict.py
@@ -58,6 +58,9 @@
             verdict.broken.append(f"contradicted: {work.name}: {way(work, ran, start)}")
         if work.category in TICKETED and ran and ran[-1].at > ran[0].at + MEMORY:
             verdict.broken.append(f"ticketed: {work.name} ran too late: {way(work, ran, start)}")
+        for one in work.tries:
+            if one.end == "200" and not one.body.startswith(f"{work.name} by ".encode()):
+                verdict.broken.append(f"another's answer: {work.name}: {one.body!r}: {way(work, ran, start)}")
         if work.finished and not ran:
             ends["finished, never ran"] += 1
             verdict.broken.append(f"no such answer: {work.name}: {way(work, ran, start)}")
