--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -599,14 +599,14 @@
     # The keeper's part.
 
     def _covered(self, member: str, told: Cover) -> None:
-        item = self.items.get(told.key)
-        if told.owner != member:
-            self._orphan(told)
-            return
         if not self.now - 4 * self.longest <= told.at <= told.until <= self.now + 2 * self.longest:
             # Guards against clocks that differ too much, and against records that are never over.
             self._say_kept(member, told, FULL)
             return
+        item = self.items.get(told.key)
+        if told.owner != member:
+            self._orphan(told)
+            return
         if item is not None and self._free(item):
             self._forget(item)
             item = None
@@ -756,7 +756,7 @@
     def _heard_over(self, over: Over) -> None:
         item = self.items.get(over.key)
         if item is None:
-            if self.kept_bytes > self.room or over.until > self.now + 2 * self.longest:
+            if self.kept_bytes > self.room or not self.now <= over.until <= self.now + 2 * self.longest:
                 return
             at = over.until - self.longest
             told = Cover(
@@ -796,6 +796,8 @@
         """Another keeper's record of what a lost member owned; we are its home, or will be in its view."""
         item = self.items.get(told.key)
         if item is None:
+            if self.kept_bytes > self.room:
+                return
             item = self._add(Item(told, State.KEEPING))
         elif item.state in UNSURE and not item.sure:
             self._no_longer_ours(item)
--- a/starlingwheel/net/fleet/arbiter.py
+++ b/starlingwheel/net/fleet/arbiter.py
@@ -98,7 +98,7 @@
 
 
 def number(text: str) -> int:
-    if not text.isdigit() or len(text) > 19:
+    if not (text.isascii() and text.isdigit()) or len(text) > 19:
         raise Unfit("no-number")
     return int(text)
 
--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+from collections import Counter
 from math import inf
 from typing import TYPE_CHECKING, Any
 
@@ -50,6 +51,11 @@
         """
         return self.me in self.module.covering.view or self.loop.now() > self.late_at
 
+    @property
+    def reasons(self) -> Counter[str]:
+        """Why calls of the arbiter and links have ended, so often each."""
+        return self.lessee.reasons + self.onlooker.reasons + self.clerk.reasons + self.links.reasons
+
     def _tell(self, mail: Any) -> None:
         if isinstance(mail, Strike):
             self.clerk.post(mail)
--- /dev/null
+++ b/tests/test_fleet_wire.py
@@ -0,0 +1,320 @@
+"""Stories of what the fleet reads: its part of the configuration, frames of links, the arbiter's answers."""
+
+import asyncio
+import json
+import random
+import socket
+import threading
+
+import msgspec
+import pytest
+from conftest import SETTINGS
+
+from standins.arbiter import Arbiter
+from starlingwheel.fleet import frames
+from starlingwheel.fleet.part import decode
+from starlingwheel.fleet.view import Member, View
+from starlingwheel.net.fleet import arbiter as client
+from starlingwheel.net.fleet.links import Reader, Refused, framed
+from trials.emulated import World
+
+PART = {
+    "name": "f",
+    "listen": "127.0.0.1:7000",
+    "arbiter": ["127.0.0.1:2379"],
+    "cover": {"categories": ["buy"]},
+}
+NAMES = ["look", "buy", "move"]
+
+
+def test_a_part_that_is_right_is_taken_with_its_defaults():
+    part = decode(PART, NAMES, 1)
+    assert part.lease_s == 3 and part.cover.keepers == 1 and part.cover.name_header == "x-work-name"
+
+
+def test_all_that_is_wrong_with_a_part_is_told_at_once_with_its_keys():
+    wrong = {
+        "name": "a b", "listen": "nowhere", "arbiter": ["x", "127.0.0.1:99999"], "lease_s": 0.5, "spare": 1,
+        "cover": {"categories": ["buy", "sell"], "name_header": "X_Y", "keepers": 9, "keeper": 2},
+    }  # fmt: skip
+    with pytest.raises(ValueError) as caught:
+        decode(wrong, NAMES, 2)
+    told = str(caught.value)
+    for key in (
+        "fleet.name:", "fleet.listen:", "fleet.arbiter[0]:", "fleet.arbiter[1]:", "fleet.lease_s:",
+        "fleet.spare:", "fleet.cover.categories[1]:", "fleet.cover.name_header:", "fleet.cover.keepers:",
+        "fleet.cover.keeper:", "streamsPerConn",
+    ):  # fmt: skip
+        assert key in told, key
+
+
+@pytest.mark.parametrize("wrong", [None, 3, [], {}, {"cover": 1}, {**PART, "cover": None}])
+def test_what_is_no_part_is_refused(wrong):
+    with pytest.raises(ValueError, match="fleet"):
+        decode(wrong, NAMES, 1)
+
+
+def some_frames():
+    asked = frames.Asked(b"POST", b"/buy/1", [(b"a", b"b")], b"x" * 30, b"t")
+    intent = frames.Intent("u1", "north", 3, 12.5)
+    return [
+        frames.Hello("f", 1, "n1.ab"),
+        frames.Cover(b"k", "n1", 0, True, b"m", "buy", "exclusive", 1.0, 2.0, False, asked, [intent]),
+        frames.Intend(b"k", 0, 1, intent),
+        frames.Kept(b"k", 0, frames.NEW, 1, frames.Reply(200, 0.0, b"", b"y" * 10)),
+        frames.Beat(7, False),
+    ]
+
+
+def test_frames_arrive_as_they_were_sent_however_they_are_cut():
+    data = b"".join(map(framed, some_frames()))
+    for step in (1, 7, 1000, len(data)):
+        reader, got = Reader(), []
+        for at in range(0, len(data), step):
+            got += reader.read(data[at : at + step])
+        assert got == some_frames()
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"\0\0\0\0", "empty"),
+        ((frames.LONGEST + 1).to_bytes(4, "big"), "too-long"),
+        (b"\0\0\0\1\xc1", "unreadable"),
+        (b"\0\0\0\3" + msgspec.msgpack.encode([99, 1]), "unreadable"),
+    ],
+)
+def test_what_is_no_frame_ends_a_link_with_its_reason(data, reason):
+    with pytest.raises(Refused, match=reason):
+        Reader().read(data)
+
+
+def test_spoilt_frames_do_nothing_worse_than_end_the_link():
+    chance = random.Random(1)
+    data = b"".join(map(framed, some_frames()))
+    ended = 0
+    for _ in range(3000):
+        spoilt = bytearray(data)
+        for _ in range(chance.randint(1, 6)):
+            spoilt[chance.randrange(len(spoilt))] = chance.randrange(256)
+        reader = Reader()
+        try:
+            reader.read(bytes(spoilt[: chance.randrange(len(spoilt))]))
+        except Refused:
+            ended += 1
+        assert len(reader.held) <= len(data)
+    assert ended > 100
+
+
+def test_frames_that_make_no_sense_hurt_nobody():
+    chance = random.Random(3)
+    world = World(1, 3)
+    world.until(1.0)
+    one, other, third = world.alive()
+    keys = [b"a", b"b", b"c"]
+    asked = frames.Asked(b"POST", b"/x", [], b"", b"")
+    for _ in range(4000):
+        key, epoch, number = (
+            chance.choice(keys),
+            chance.choice((-1, 0, 1, 9)),
+            chance.choice((-5, 0, 1, 1 << 60)),
+        )
+        who = chance.choice((one.id, other.id, third.id, "stranger.00"))
+        at = chance.choice((float("nan"), float("inf"), -1e300, world.now))
+        intents = [frames.Intent("u", "", 0, at)] * chance.randrange(3)
+        reply = frames.Reply(chance.choice((200, 503, 504, 0)))
+        verdict = chance.choice((frames.NEW, frames.RUNNING, frames.MOVED, frames.UNKNOWN, frames.FULL, "?"))
+        effect = chance.choice(("exclusive", "ticketed", "rerunnable", "?"))
+        frame = chance.choice(
+            [
+                frames.Cover(key, who, epoch, True, b"", "c", effect, at, at, True, asked, intents),
+                frames.Cover(
+                    key, who, epoch, False, b"", "c", effect, world.now, world.now + 1, False, asked, []
+                ),
+                frames.Intend(key, epoch, number, frames.Intent("u", "", 0, at)),
+                frames.Ended(key, epoch, number, "unsent"),
+                frames.Answered(key, epoch, reply),
+                frames.Kept(key, epoch, verdict, number, reply, who),
+                frames.Over(key, who, b"", "c", effect, at, reply),
+                frames.Find(key, b""),
+                frames.Told(number),
+                frames.Beat(number, False),
+            ]
+        )
+        one.covering.now = world.now
+        one.covering.heard(chance.choice((other.id, third.id)), frame)
+        if chance.random() < 0.05:
+            world.until(world.now + 0.05)
+    world.until(world.now + 8.0)
+    assert not one.covering.items and not one.covering.held
+
+
+def test_a_home_moves_only_with_the_members_that_change():
+    members = [Member(f"n{i}", f"n{i}", "", "ab"[i % 2]) for i in range(12)]
+    view, less = View(members), View(members[1:])
+    keys = [b"%d" % i for i in range(600)]
+    assert all(less.home(k) == view.home(k) for k in keys if view.home(k) != "n0")
+    assert all(less.home(k) == view.home(k, but="n0") for k in keys)
+    counts = [sum(view.home(k) == m.id for k in keys) for m in members]
+    assert min(counts) > 25
+    for key in keys:
+        keepers = view.keepers(key, "n0", 1, view.members)
+        assert "n0" not in keepers and any(view.members[k].zone == "b" for k in keepers)
+
+
+@pytest.mark.parametrize("kind", [client.Ranged, client.Granted, client.Kept, client.Decided, client.Line])
+def test_an_arbiter_that_talks_nonsense_is_turned_away_with_a_reason(kind):
+    chance = random.Random(2)
+    whole = json.dumps({"header": {"revision": "3"}, "kvs": [{"key": "YQ==", "mod_revision": 4}], "ID": [1]})
+    for text in ("", "{", "[]", "null", "1e999", '{"result":{"events":[{"kv":3}]}}', "[" * 5000, whole[:-5]):
+        with pytest.raises(client.Unfit):
+            client.read(text.encode(), kind)
+    for _ in range(1000):
+        data = bytes(chance.randrange(256) for _ in range(chance.randrange(60)))
+        with pytest.raises(client.Unfit):
+            client.read(data, kind)
+
+
+@pytest.mark.parametrize("text", ["", "-1", "1.5", "x", "9" * 30, "١"])
+def test_what_is_no_64_bit_number_is_none(text):
+    with pytest.raises((client.Unfit, ValueError)):
+        assert client.number(text) < 0
+
+
+class Served:
+    """The stand-in arbiter on a thread of its own."""
+
+    def __init__(self):
+        self.arbiter, self.loop = None, asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.do(self._begin())
+
+    async def _begin(self):
+        self.arbiter = Arbiter()
+        await self.arbiter.begin()
+
+    def do(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+
+    def call(self, what, *given):
+        async def inside():
+            return what(*given)
+
+        return self.do(inside())
+
+    def close(self):
+        self.do(self.arbiter.stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+        self.loop.close()
+
+
+@pytest.fixture
+def served():
+    one = Served()
+    yield one
+    one.close()
+
+
+@pytest.fixture
+def member(make_surroundings, served):
+    part = {
+        "name": "f",
+        "listen": "127.0.0.1:0",
+        "arbiter": [served.arbiter.server.address],
+        "lease_s": 1,
+        "cover": {"categories": ["buy"]},
+    }
+    part["listen"] = f"127.0.0.1:{free()}"
+    return make_surroundings(fleet=part, settings=SETTINGS)
+
+
+def free():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def joined(around):
+    return around.node.fleet.joined
+
+
+def test_a_member_enters_and_is_ready_then(member):
+    assert not member.node.ready
+    member.until(lambda: joined(member))
+    assert member.node.ready and len(member.node.module.covering.view.members) == 1
+
+
+def test_a_reply_lost_after_it_was_applied_costs_one_more_try(member, served):
+    served.call(served.arbiter.lose.update, {"/v3/kv/txn": 1, "/v3/lease/grant": 1})
+    member.until(lambda: joined(member))
+    assert len([k for k in served.arbiter.entries if b"members" in k]) == 1
+
+
+def test_a_lease_that_ends_early_is_taken_anew(member, served):
+    member.until(lambda: joined(member))
+    term = member.node.module.covering.view.members[member.node.fleet.me].term
+    (key,) = served.arbiter.entries
+    served.call(served.arbiter.end_lease_of, key.decode())
+    covering = member.node.module.covering
+    me = member.node.fleet.me
+    member.until(lambda: covering.view.members.get(me) and covering.view.members[me].term != term)
+
+
+def test_a_watch_cut_at_a_compaction_reads_the_whole_again(member, served):
+    member.until(lambda: joined(member))
+    served.call(served.arbiter.compact)
+    served.call(served.arbiter.cut_watches)
+    other = Member("n9.ff", "n9", "127.0.0.1:1")
+    put = {"key": client.b64("/f/members/n9.ff"), "value": client.b64(msgspec.json.encode(other))}
+    served.call(served.arbiter._put, put)
+    member.until(lambda: "n9.ff" in member.node.module.covering.view)
+
+
+def test_an_entry_that_nobody_can_read_hides_no_other(member, served):
+    member.until(lambda: joined(member))
+    served.call(served.arbiter._put, {"key": client.b64("/f/members/x"), "value": client.b64("{")})
+    member.until(lambda: member.logged("arbiter.entry"))
+    assert len(member.node.module.covering.view.members) == 1
+
+
+@pytest.mark.parametrize("path", ["/v3/kv/range", "/v3/kv/txn", "/v3/lease/grant", "/v3/lease/keepalive"])
+def test_nonsense_from_the_arbiter_is_counted_and_survived(member, served, path):
+    served.call(served.arbiter.nonsense.update, {path: b'{"ID":7,"kvs":3,"header":[],"result":null}'})
+    served.call(served.arbiter.compact)
+    served.call(served.arbiter.cut_watches)
+    member.until(lambda: member.node.fleet.reasons["unreadable"])
+    served.call(served.arbiter.nonsense.clear)
+    member.until(lambda: joined(member), within=8.0)
+    assert not member.logged("defect")
+
+
+def test_work_goes_on_while_the_arbiter_is_gone(member, served):
+    member.until(lambda: joined(member))
+    served.do(served.arbiter.down())
+    member.let_pass(1.5)
+    asked = member.ask("buy", b"one", x_work_name="w1")
+    member.serve()
+    assert member.status(asked) == 200
+
+
+def test_a_repeat_of_finished_work_gets_its_answer_and_no_hand_off(member):
+    member.until(lambda: joined(member))
+    asked = member.ask("buy", b"one", x_work_name="w1")
+    member.serve(body=b"done")
+    assert member.answer(asked)[1] == b"done"
+    again = member.ask("buy", b"one", x_work_name="w1", x_trace_id="t2", x_second_try="1")
+    assert member.answer(again)[1] == b"done"
+    other = member.ask("buy", b"two", x_work_name="w1", x_trace_id="t3")
+    assert member.status(other) == 422
+    member.quiet()
+
+
+def test_work_without_a_name_is_as_it_was(member):
+    member.until(lambda: joined(member))
+    asked = member.ask("buy", b"one")
+    member.serve()
+    assert member.status(asked) == 200
+    module = member.node.module
+    assert not module.covering.items and module.covering.counts["unnamed"] == 1
--- a/trials/emulated.py
+++ b/trials/emulated.py
@@ -51,6 +51,9 @@
     longest: float = 1.5
 
 
+HARSH = Timetable(crash=2.0, pause=1.5, cut=1.0, one_way=1.0, reset=2.0, arbiter=0.1, longest=3.0)
+
+
 class Link:
     """One connection between two members; each side ends by itself."""
 
@@ -438,7 +441,9 @@
             effect = EFFECTS[number % 3]
             self.at(at, lambda n=name, e=effect, a=at: self.ask(n, e, a + EXPIRY))
             if self.chance.random() < twins:
-                self.at(at, lambda n=name, e=effect, a=at: self.ask(n, e, a + EXPIRY))
+                # Another client of that name, at the same moment or later.
+                when = at + self.chance.choice((0.0, self.chance.uniform(0, EXPIRY / 2)))
+                self.at(when, lambda n=name, e=effect, a=at: self.ask(n, e, a + EXPIRY))
         for what, often in vars(faults).items():
             if what == "longest":
                 continue
@@ -518,10 +523,11 @@
     faults: Timetable | None = None,
     kind: Callable[..., Any] = Covering,
     trace: bytes | None = None,
+    twins: float = 0.05,
 ) -> Outcome:
     """One seed; `kind` may be a broken variant that the checks must catch."""
     world = World(seed, members, kind, trace)
-    world.play(seconds, rate, faults or Timetable())
+    world.play(seconds, rate, faults or Timetable(), twins)
     ends = Counter(r.end or "open" for r in world.requests)
     names = list(world.effects)
     counts = {"work": len(names), "finished": world.finished(names), **dict(sorted(ends.items()))}
--- /dev/null
+++ b/trials/model.py
@@ -0,0 +1,273 @@
+"""One work item and three members, every order of events within bounds: the promise *once*, explored.
+
+States are copied and told apart by their text; what is bounded is what may go wrong (`Bounds`), no order.
+Messages of one link come in order or not at all, everything else in any order: words of the arbiter, ends of
+links, writes of hand-offs, answers of upstreams, clients that come again.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from starlingwheel.fleet.cover import Covering, Item, Word
+from starlingwheel.fleet.frames import Asked, Cover, Frame, Intent, Reply
+from starlingwheel.fleet.view import Member, View
+
+MEMBERS = ("a", "b", "c")
+EXPIRY = 100.0
+Event = tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """How often each may happen in one history."""
+
+    crashes: int = 1
+    cuts: int = 0
+    again: int = 1
+    twins: int = 0
+    states: int = 60_000  # explored at most
+
+
+class Client:
+    """One try. Told apart by its number."""
+
+    def __init__(self, number: int) -> None:
+        self.number, self.end = number, 0
+
+    def __repr__(self) -> str:
+        return f"c{self.number}:{self.end}"
+
+
+@dataclass
+class Model:
+    """One state."""
+
+    effect: str
+    kind: Callable[..., Any]
+    covers: dict[str, Any] = field(default_factory=dict)
+    queues: dict[tuple[str, str], deque[Any]] = field(default_factory=dict)
+    links: set[tuple[str, str]] = field(default_factory=set)
+    writes: list[tuple[str, int]] = field(default_factory=list)  # let go, not written yet
+    running: list[str] = field(default_factory=list)  # whose hand-offs run at an upstream
+    runs: int = 0
+    clients: list[Client] = field(default_factory=list)
+    homes: dict[str, str] = field(default_factory=dict)  # which client waits where: by its number
+    left: dict[str, int] = field(default_factory=dict)
+    view: View = field(default_factory=View)
+    told_view: dict[str, int] = field(default_factory=dict)
+
+    def begin(self, bounds: Bounds) -> Model:
+        members = [Member(name, name, "", name) for name in MEMBERS]
+        self.view = View(members)
+        self.left = {name: getattr(bounds, name) for name in ("crashes", "cuts", "again", "twins")}
+        for name in MEMBERS:
+            self.covers[name] = self.kind(name, EXPIRY, 1, 1 << 20, ModelDoor(self, name), 0.0)
+            self.covers[name].lease_until = EXPIRY
+        for one in MEMBERS:
+            for other in MEMBERS:
+                if one != other:
+                    self.queues[one, other] = deque()
+                    self.links.add((one, other))
+        for name in MEMBERS:
+            self.covers[name].viewed(self.view, True)
+        for one, other in sorted(self.links):
+            self.covers[one].up(other)
+        while any(self.queues.values()):
+            for way in self.queues:
+                if self.queues[way]:
+                    self.do(("arrives", *way))
+        return self
+
+    # What may happen next.
+
+    def events(self) -> Iterator[Event]:
+        for way, queue in self.queues.items():
+            if queue and way[1] in self.covers:
+                yield ("arrives", *way)
+        for place in range(len(self.writes)):
+            yield ("writes", str(place))
+        for place in range(len(self.running)):
+            yield ("finishes", str(place))
+        if not self.clients:
+            yield ("asks", "a")
+            return
+        for name in self.covers:
+            if self.told_view.get(name, 0) != self.view.digest and self.told_view:
+                yield ("views", name)
+            if self.left["crashes"] and len(self.covers) > 2:
+                yield ("crashes", name)
+        if self.left["cuts"]:
+            for one, other in sorted(self.links):
+                if one < other:
+                    yield ("cuts", one, other)
+        lost = all(c.end or self.homes[str(c.number)] not in self.covers for c in self.clients)
+        if lost and self.left["again"] and self.clients[-1].end not in (200, 504):
+            for name in self.covers:
+                yield ("asks", name)
+        if self.left["twins"] and "c" in self.covers:
+            yield ("twin", "c")
+
+    def do(self, event: Event) -> None:
+        match event:
+            case ("arrives", one, other):
+                what = self.queues[one, other].popleft()
+                if what == "end":
+                    self._closed(other, one)
+                elif (other, one) in self.links:
+                    self.covers[other].heard(one, what)
+            case ("writes", place):
+                name, number = self.writes.pop(int(place))
+                if name in self.covers:
+                    self.runs += 1
+                    self.running.append(name)
+            case ("finishes", place):
+                name = self.running.pop(int(place))
+                if name in self.covers:
+                    for item in list(self.covers[name].items.values()):
+                        self._answered(name, item, Reply(200))
+            case ("asks", name):
+                self.left["again"] -= bool(self.clients)
+                self._ask(name, repeat=bool(self.clients))
+            case ("twin", name):
+                self.left["twins"] -= 1
+                self._ask(name, repeat=False)
+            case ("views", name):
+                self.told_view[name] = self.view.digest
+                self.covers[name].viewed(self.view, False)
+            case ("crashes", name):
+                self.left["crashes"] -= 1
+                del self.covers[name]
+                self.writes = [w for w in self.writes if w[0] != name]
+                for one, other in list(self.links):
+                    if one == name:
+                        self.links.discard((one, other))
+                        self.queues[one, other].append("end")
+                self.view = View(m for m in self.view.members.values() if m.id in self.covers)
+                self.told_view = {n: self.told_view.get(n, 0) for n in self.covers} or {"": 0}
+            case ("cuts", one, other):
+                # Both sides find out by silence, each by itself; nothing in between arrives.
+                self.left["cuts"] -= 1
+                for way in ((one, other), (other, one)):
+                    self.queues[way].clear()
+                    self.queues[way].append("end")
+
+    def _closed(self, name: str, other: str) -> None:
+        if (name, other) in self.links:
+            self.links.discard((name, other))
+            self.covers[name].down(other)
+
+    def _ask(self, name: str, repeat: bool) -> None:
+        client = Client(len(self.clients))
+        self.clients.append(client)
+        self.homes[str(client.number)] = name
+        asked = Asked(b"", b"", [], b"", b"")
+        told = Cover(b"x", name, 0, False, b"", "c", self.effect, 0.0, EXPIRY, repeat, asked, [])
+        word, item = self.covers[name].begin(told, client, EXPIRY)
+        if word is Word.RUN:
+            self.hand_off(name, item)
+        elif word is Word.ANSWER:
+            client.end = item.reply.status
+
+    # The hosts.
+
+    def hand_off(self, name: str, item: Item) -> None:
+        if self.effect == "exclusive" and any(not i.fate for i in item.intents):
+            self._answered(name, item, Reply(504))
+            return
+        cover = self.covers[name]
+        cover.hand_on(item, cover.intend(item, Intent("u", "", 0, 0.0)))
+
+    def _answered(self, name: str, item: Item, reply: Reply) -> None:
+        cover = self.covers[name]
+        client, until = item.main, item.clients.pop(item.main, 0.0)
+        given = cover.answered(item, reply)
+        if client is None:
+            return
+        if given is None:
+            cover.wait_on(item, client, until)
+        else:
+            client.end = client.end or given.status
+
+    def key(self) -> str:
+        """The text of a state: two of one text go on alike."""
+        items = [
+            (
+                name, len(cover.links), cover.view.digest, cover.settled, len(cover.lately),
+                sorted(cover.told.items()), cover.held,
+                [
+                    (
+                        i.state, i.owner, i.epoch, i.intents, i.keepers, i.sure, i.running, sorted(i.waiting),
+                        sorted(i.askers), [c.number for c in i.clients], i.at_home, i.adopted, i.let_go,
+                        i.stale, i.reply, i.main and i.main.number, i.unnoted,
+                    )
+                    for i in cover.items.values()
+                ],
+            )
+            for name, cover in self.covers.items()
+        ]  # fmt: skip
+        rest = (self.queues, sorted(self.links), sorted(self.writes), self.running, self.runs, self.clients)
+        return repr((items, rest, self.left, self.told_view, self.view.digest))
+
+    def broken(self) -> str:
+        if self.effect == "exclusive" and self.runs > 1:
+            return f"ran {self.runs} times"
+        return ""
+
+
+class ModelDoor:
+    def __init__(self, model: Model, name: str) -> None:
+        self.model, self.name = model, name
+
+    def say(self, member: str, frame: Frame) -> bool:
+        if (self.name, member) not in self.model.links:
+            return False
+        self.model.queues[self.name, member].append(copy.deepcopy(frame))
+        return True
+
+    def go(self, item: Item, number: int) -> None:
+        self.model.writes.append((self.name, number))
+
+    def stop(self, item: Item, number: int) -> None:
+        pass
+
+    def decide(self, item: Item) -> None:
+        self.model.hand_off(self.name, item)
+
+    def answer(self, item: Item, client: Client, reply: Reply) -> None:
+        client.end = client.end or reply.status
+
+    def note(self, event: str, **fields: Any) -> None:
+        pass
+
+
+@dataclass
+class Explored:
+    states: int
+    whole: bool  # no state was left out
+    broken: list[tuple[str, list[Event]]]
+
+
+def explore(effect: str, bounds: Bounds, kind: Callable[..., Any] = Covering) -> Explored:
+    """All orders, breadth first; the first history that breaks a promise is the shortest."""
+    first = Model(effect, kind).begin(bounds)
+    seen = {first.key()}
+    waiting: deque[tuple[Model, list[Event]]] = deque([(first, [])])
+    while waiting:
+        model, way = waiting.popleft()
+        for event in list(model.events()):
+            after = copy.deepcopy(model)
+            after.do(event)
+            if fault := after.broken():
+                return Explored(len(seen), False, [(fault, [*way, event])])
+            key = after.key()
+            if key not in seen:
+                if len(seen) >= bounds.states:
+                    return Explored(len(seen), False, [])
+                seen.add(key)
+                waiting.append((after, [*way, event]))
+    return Explored(len(seen), True, [])
