--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -8,18 +8,22 @@
 from math import inf
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from ...fleet.part import FleetPart
 from ...fleet.view import Member
+from ..actor import Coroutine
 from .arbiter import Clerk, Lessee, Onlooker
 from .connection import HoldingConnection
 from .links import Links, greeting
-from .mail import Strike, Viewed
+from .mail import Lapsed, Strike, Viewed
 from .module import CoveringModule
 
 if TYPE_CHECKING:
     from ..lifecycle.start import Node
 
 
+LEAVING = 1 / 6  # of a lease for which a process that ends waits to be out of the view
 LATE = 8.0  # leases after which a sidecar that can't reach the arbiter serves all the same, uncovered
 
 
@@ -35,9 +39,10 @@
         given = (node.loop, part.arbiter, float(part.lease_s), node.pool, node.log, chance)
         self.lessee = Lessee(*given, fleet=part.name, member=member, tell=self._tell)
         self.onlooker = Onlooker(*given, fleet=part.name, member=member, tell=self._tell)
+        self.leaving = False
         self.loop, self.lease, self.late_at = node.loop, part.lease_s, inf
         self.clerk = Clerk(*given, fleet=part.name)
-        self.module = CoveringModule(node, self.me, part.cover, self.lessee.post)
+        self.module = CoveringModule(node, self.me, part.cover, self._lapsed)
         self.links = Links(
             node.loop, sock, greeting(part.name, self.me), self._tell, self.module.beat, node.log, chance
         )
@@ -51,6 +56,39 @@
         """
         return self.me in self.module.covering.view or self.loop.now() > self.late_at
 
+    def told(self) -> dict[str, Any]:
+        """For operators: who is in, who is heard, what is covered, and why not."""
+        covering, now = self.module.covering, self.loop.now()
+        return {
+            "member": self.me,
+            "in_view": self.me in covering.view,
+            "lease_s": round(max(0.0, covering.lease_until - now), 3),
+            "settled": covering.settled_now,
+            "view": [msgspec.structs.asdict(member) for member in covering.view.members.values()],
+            "links": sorted(covering.links),
+            "items": Counter(item.state.value for item in covering.items.values()),
+            "kept_bytes": covering.kept_bytes,
+            "counts": covering.counts,
+            "reasons": self.reasons,
+        }
+
+    def leave(self) -> Coroutine[None]:
+        """Out of the view before the process ends: others need not wait for our lease, nor knock.
+
+        What we still own without a client, its keepers take over once our links close.
+        """
+        member = self.module.covering.view.members.get(self.me)
+        self.leaving = True
+        if member is not None:
+            self.clerk.post(Strike(member))
+            until = self.loop.now() + LEAVING * self.lease
+            while self.me in self.module.covering.view and self.loop.now() < until:
+                yield self.loop.now() + LEAVING * self.lease / 32
+
+    def _lapsed(self, mail: Lapsed) -> None:
+        if not self.leaving:
+            self.lessee.post(mail)
+
     @property
     def reasons(self) -> Counter[str]:
         """Why calls of the arbiter and links have ended, so often each."""
--- a/starlingwheel/net/lifecycle/stop.py
+++ b/starlingwheel/net/lifecycle/stop.py
@@ -34,6 +34,8 @@
         while node.ledger.clients or not node.listener.ended:
             end_idle_clients(node)
             yield self.loop.now() + node.shortest / 64
+        if node.fleet is not None:
+            yield from node.fleet.leave()
         self.loop.stop()
 
 
--- a/starlingwheel/net/wire/operators.py
+++ b/starlingwheel/net/wire/operators.py
@@ -90,6 +90,7 @@
 
     def run(self) -> Coroutine[None]:
         target, name, reason = "", "", ""
+        self.told = b""  # the body of its answer
         opened = self.loop.now()
         try:
             try:
@@ -144,11 +145,14 @@
     def _carry_out(self, request: h11.Request, body: bytes, until: float) -> Coroutine[str]:
         """Does what the call says; the id that it names."""
         path = request.target.partition(b"?")[0]
-        wanted = b"GET" if path == b"/_ready" else b"PUT"
-        if path not in CALLS:
+        wanted = b"GET" if path in (b"/_ready", b"/_fleet") else b"PUT"
+        if path not in CALLS and not (path == b"/_fleet" and self.node.fleet is not None):
             raise Refused(UNKNOWN, "unknown path")
         if request.method != wanted:
             raise Refused(METHOD, "wrong method")
+        if path == b"/_fleet":
+            self.told = msgspec.json.encode(self.node.fleet.told()) + b"\n"
+            return ""
         while True:
             try:
                 return CALLS[path](self.node, body)
@@ -161,10 +165,14 @@
                 raise Refused(NOT_NOW, f"not written: {error.strerror}") from error
 
     def _write(self, status: int) -> Coroutine[None]:
-        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        told = self.told if status == OK else b""
+        headers = [(b"Content-Length", str(len(told)).encode()), (b"Connection", b"close")]
         if self.stream.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return  # what came was no HTTP at all, and h11 has nothing to answer to
-        self.stream.put(h11.Response(status_code=status, headers=headers), h11.EndOfMessage())
+        self.stream.put(h11.Response(status_code=status, headers=headers))
+        if told:
+            self.stream.put(h11.Data(data=told))
+        self.stream.put(h11.EndOfMessage())
         until = self.loop.now() + DUE
         while not self.stream.write():
             self.stream.want(WRITE)
