--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -111,7 +111,7 @@
     def cover(self, asks: bool) -> Cover:
         return Cover(
             self.key, self.owner, self.epoch, asks, self.mark, self.category, self.effect, self.at,
-            self.until, self.repeat, self.asked, self.intents, self.sure,
+            self.until, self.repeat, self.asked, list(self.intents), self.sure,
         )  # fmt: skip
 
 
@@ -619,6 +619,8 @@
             return
         if asks and (item is None or unsure or item.owner == member) and not self._steady(told.key):
             # Guards against granting what another home has granted: all have told before long.
+            if told.granted:
+                self._record(item, told)  # guards against losing it with its owner meanwhile
             self.held.append((member, told))
             return
         granted = (
@@ -646,6 +648,18 @@
             item.askers[member] = None
             self._say_kept(member, told, RUNNING)
 
+    def _record(self, item: Item | None, told: Cover) -> None:
+        """What another member owns, or owned: it goes before what we ourselves have not been granted."""
+        if item is None:
+            if self.kept_bytes <= self.room:
+                self._add(Item(told, State.KEEPING))
+        elif item.state in UNSURE and not item.sure:
+            self._no_longer_ours(item)
+            item.state, item.at_home = State.KEEPING, ""
+            self._merge(item, told)
+        elif item.state is State.KEEPING and item.epoch <= told.epoch:
+            self._merge(item, told)
+
     def _merge(self, item: Item, told: Cover) -> None:
         """The history as both know it: an intent recorded anywhere counts."""
         item.owner, item.epoch, item.until = told.owner, told.epoch, max(item.until, told.until)
@@ -691,7 +705,10 @@
             self.door.say(member, Kept(key, epoch, STALE))
         elif 0 <= number <= len(item.intents):
             item.intents[number:] = [intent]
-            self.door.say(member, Kept(key, epoch, KEPT, number + 1))
+            if self.view.home(key) == self.me and not self._steady(key):
+                self.held.append((member, item.cover(asks=True)))
+            else:
+                self.door.say(member, Kept(key, epoch, KEPT, number + 1))
 
     def _answered(self, member: str, key: bytes, epoch: int, reply: Reply) -> None:
         item = self.items.get(key)
@@ -794,18 +811,9 @@
 
     def _orphan(self, told: Cover) -> None:
         """Another keeper's record of what a lost member owned; we are its home, or will be in its view."""
+        self._record(self.items.get(told.key), told)
         item = self.items.get(told.key)
-        if item is None:
-            if self.kept_bytes > self.room:
-                return
-            item = self._add(Item(told, State.KEEPING))
-        elif item.state in UNSURE and not item.sure:
-            self._no_longer_ours(item)
-            item.state = State.KEEPING
-            self._merge(item, told)
-        elif item.state is State.KEEPING and item.epoch <= told.epoch:
-            self._merge(item, told)
-        if self.view.home(told.key) == self.me:
+        if item is not None and self.view.home(told.key) == self.me:
             self._place(item)
 
     def may_decide(self) -> bool:
--- a/trials/emulated.py
+++ b/trials/emulated.py
@@ -538,4 +538,4 @@
     return Outcome(seed, counts, world.broken())
 
 
-__all__ = ["Outcome", "Timetable", "UNSENT", "World", "play"]
+__all__ = ["HARSH", "Outcome", "Timetable", "UNSENT", "World", "play"]
