--- a/standins/relay.py
+++ b/standins/relay.py
@@ -41,6 +41,7 @@
         self.refusing: set[str] = set()
         self.server: asyncio.Server | None = None
         self.open: dict[tuple[asyncio.StreamWriter, asyncio.StreamWriter], str] = {}
+        self.pieces = 0  # passed on so far, both ways
         self.tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -113,6 +114,7 @@
     ) -> None:
         try:
             while data := await reader.read(CHUNK):
+                self.pieces += 1
                 now = self._ways(source)[way]
                 wait = now.delay + (now.again if now.loss and self.chance.random() < now.loss else 0.0)
                 if wait:
--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -163,7 +163,7 @@
 
     def viewed(self, view: View, gap: bool) -> None:
         """Another set of members holds leases. `gap`: there may have been others between."""
-        if view.digest == self.view.digest:
+        if view.digest == self.view.digest and not (gap and view.members):
             return
         ours = (self.view.members.get(self.me), view.members.get(self.me))
         if gap or ours[0] != ours[1]:
@@ -524,6 +524,9 @@
             self._done(item, kept.reply)
         elif kept.verdict == OTHER:
             self._stop_all(item)
+            # Guards against a keeper of ours giving that answer for the request that has the name.
+            self._tell_keepers(item, Reply(DEFERRED))
+            item.keepers.clear()
             self._done(item, Reply(MIXED_UP))
             self._forget(item)
         elif kept.verdict == UNKNOWN:
@@ -552,6 +555,9 @@
         elif kept.verdict == FULL:
             item.keepers.pop(member, None)
             if not item.sure and member == item.at_home:
+                if item.repeat and item.effect != RERUNNABLE:
+                    self._give_up(item, FULL)
+                    return
                 self._uncovered(item, FULL)
                 self._start(item)
             self._let_go(item)
@@ -623,9 +629,8 @@
                 self._record(item, told)  # guards against losing it with its owner meanwhile
             self.held.append((member, told))
             return
-        granted = (
-            NEW if asks else KEPT
-        )  # its view may be ahead of ours: then we keep it, and are its home soon
+        # Where its view is ahead of ours we keep it, and are its home soon.
+        granted = NEW if asks else KEPT
         if item is None:
             if self.kept_bytes > self.room:
                 self._say_kept(member, told, FULL)
@@ -713,6 +718,8 @@
     def _answered(self, member: str, key: bytes, epoch: int, reply: Reply) -> None:
         item = self.items.get(key)
         noted = Kept(key, epoch, NOTED)
+        # Guards against recording, once all have told, what its owner has given up meanwhile.
+        self.held = [(who, cover) for who, cover in self.held if (who, cover.key) != (member, key)]
         if item is None or item.state is State.DONE:
             self.door.say(member, noted)
         elif item.state is State.KEEPING and (item.owner, item.epoch) == (member, epoch):
--- a/starlingwheel/net/fleet/links.py
+++ b/starlingwheel/net/fleet/links.py
@@ -12,6 +12,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 import msgspec
@@ -24,8 +25,10 @@
 from ..wire.address import split
 from .mail import Framed, LinkDown, LinkUp, Say, Strike, Viewed
 
-BEAT = 0.1  # seconds between words when there is nothing else to say
-SILENCE = 3.0  # times that without a byte after which a link counts as lost
+BEAT = 0.1  # seconds between words, on a link with something at stake, when there is nothing else to say
+IDLE = 1.0  # the same on any other link: guards against a standing cost that grows with the fleet
+SILENCE = 3.0  # times those without a byte after which a link counts as lost
+STAKE = 2.0  # seconds after a word about work for which something is at stake
 GREETING = 1.0  # seconds within which a link comes up and both have said who they are
 PAUSE = (0.02, 0.5)  # seconds before a link is tried again: the first, and where the doubling ends
 UNSENT = 8 * LONGEST  # bytes that wait for a slow member, at most
@@ -234,6 +237,7 @@
         self.unsent = bytearray()
         self.mask = 0
         self.heard = self.said = 0.0
+        self.quick_since, self.quick_until = 0.0, -inf  # something is at stake
         self.over = False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -292,12 +296,23 @@
         self._take(self.early)
         while True:
             now = self.loop.now()
-            if now >= self.heard + SILENCE * BEAT:
+            quick = now < self.quick_until
+            # The other side may think of it as at stake for a moment longer: we go on beating for that.
+            beat_at = self.said + (BEAT if now < self.quick_until + SILENCE * BEAT else IDLE)
+            lost_at = self.heard + SILENCE * IDLE
+            if quick:
+                lost_at = max(self.heard, self.quick_since) + SILENCE * BEAT
+            if now >= lost_at:
                 raise Refused("silent")
-            if now >= self.said + BEAT:
-                self._send(framed(self.links.beat()))
-            mail = yield min(self.said + BEAT, self.heard + SILENCE * BEAT)
+            if now >= beat_at:
+                beat = self.links.beat()
+                if beat.lapsed:
+                    self._quicken()
+                self._send(framed(beat))
+                beat_at = now + (BEAT if now < self.quick_until + SILENCE * BEAT else IDLE)
+            mail = yield min(beat_at, lost_at)
             if isinstance(mail, Say):
+                self._quicken()
                 self._send(mail.data)
             elif isinstance(mail, Ready):
                 if mail.mask & WRITE:
@@ -307,10 +322,18 @@
             elif mail is CLOSE:
                 raise Refused("replaced")
 
+    def _quicken(self) -> None:
+        now = self.loop.now()
+        if now >= self.quick_until:
+            self.quick_since = now
+        self.quick_until = now + STAKE
+
     def _take(self, frames: list[Frame]) -> None:
         for frame in frames:
             if isinstance(frame, Hello):
                 raise Refused("greeted-twice")
+            if not isinstance(frame, Beat) or frame.lapsed:
+                self._quicken()
             self.links.tell(Framed(self.member, frame))
 
     def _receive(self) -> list[Frame]:
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -70,7 +70,8 @@
         if config.fleet is not None:
             from ..fleet.start import Fleet  # costs a start without it no import
 
-            self.fleet = Fleet(self, config.fleet, self._bound(socket.SOCK_STREAM, config.fleet.listen))
+            sock = self._bound(socket.SOCK_STREAM, config.fleet.listen, shared=bool(self.passed))
+            self.fleet = Fleet(self, config.fleet, sock)
         self.module = self.fleet.module if self.fleet is not None else Module(self)
         self.listener = Listener(
             self, self._passed() if self.passed else self._bound(socket.SOCK_STREAM, config.listen)
@@ -141,8 +142,11 @@
             raise Unusable(f"EDGE_PASSED_SOCKET: {self.passed!r} is no listening socket")
         return sock
 
-    def _bound(self, kind: socket.SocketKind, address: str) -> socket.socket:
+    def _bound(self, kind: socket.SocketKind, address: str, shared: bool = False) -> socket.socket:
+        """`shared`: another process of this sidecar may listen there too."""
         sock = socket.socket(socket.AF_INET, kind)
+        if shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         if kind is socket.SOCK_STREAM or self.passed:
             # Of datagrams: where a process is replaced both have the address, and the last one hears.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -10,7 +10,7 @@
 import pytest
 
 from trials import hard, loss
-from trials.rig import ROOT
+from trials.rig import ROOT, Rig
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -50,3 +50,15 @@
 def test_hard_cases_keep_their_promises(case):
     verdict = asyncio.run(hard.CASES[case](1))
     assert verdict.kept, verdict.broken
+
+
+def test_links_with_nothing_at_stake_say_little():
+    async def counted():
+        async with Rig(1, sidecars=4, upstreams=3) as rig:
+            await asyncio.sleep(3.0)
+            before = sum(s.front.pieces for s in rig.sidecars)
+            await asyncio.sleep(2.0)
+            return sum(s.front.pieces for s in rig.sidecars) - before
+
+    # Six links, two sides, two seconds: a word a second each, where something at stake makes it ten.
+    assert asyncio.run(counted()) <= 6 * 2 * 4
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import json
+import os
 import random
 import socket
+import sys
 import threading
 
 import msgspec
@@ -343,3 +345,49 @@
     member.until(lambda: joined(member))
     member.node.stopper.post(STOP)
     member.until(lambda: not member.node.loop.running and not served.arbiter.entries)
+
+
+def test_two_processes_of_one_sidecar_can_both_be_linked_to(make_surroundings, served):
+    # Guards against a replacement of the process that can't start for the address that the old one holds.
+    part = PART | {"listen": f"127.0.0.1:{free()}", "arbiter": [served.arbiter.server.address], "lease_s": 1}
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        one.listen()
+        made = []
+        for _ in range(2):
+            environment = {"EDGE_PASSED_SOCKET": str(os.dup(one.fileno()))}
+            made.append(make_surroundings(fleet=part, environment=environment))
+        for around in made:
+            around.until(lambda around=around: joined(around))
+    assert made[0].node.fleet.me != made[1].node.fleet.me
+
+
+def calls_of_the_fleet(around, **headers):
+    """How often functions of the fleet's code are called for one request, until it has its answer."""
+    counts = {}
+
+    def count(frame, event, _):
+        if event == "call" and "fleet" in frame.f_code.co_filename.rpartition("/starlingwheel/")[2]:
+            name = frame.f_code.co_name
+            counts[name] = counts.get(name, 0) + 1
+
+    asked = around.ask("buy", b"one", **headers)
+    sys.setprofile(count)
+    try:
+        around.serve()
+        assert around.status(asked) == 200
+    finally:
+        sys.setprofile(None)
+    return counts
+
+
+def test_a_request_costs_a_sidecar_without_a_fleet_nothing_of_it(around):
+    assert calls_of_the_fleet(around) == {}
+
+
+def test_a_request_without_a_name_makes_no_item_at_a_member(member):
+    member.until(lambda: joined(member))
+    counts = calls_of_the_fleet(member)
+    assert counts["_name"] == 1
+    for name in ("begin", "intend", "hand_on", "answered", "_add", "cover"):
+        assert name not in counts
