Read once more: one connect, one table of calls, one way to become a keeper; the first two of a name are kept

Links and Knock made their sockets themselves: http.connect does, with the host to go out from. GET /_fleet was a case of its own in three places of Call: each call now stands in the table with its method, and says what it names and what it is told. The key prefix of members was made three times. Becoming a keeper stood twice in Covering, what has not been granted three times; beats were worked out twice a turn. View.home hashed with every member and sorted for each word about an item: the first two of up to 4,096 names are kept. Out: Lease, REVOKE, greeting, Rig.cut and fields that nobody read. Trials: killing one, what is in hand there and the verdict at the end are the rig's. A member's address that can't be called is logged as unreachable, without the system's words.

--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -62,9 +62,6 @@
     DONE = "done"  # it has its final answer
 
 
-UNSURE = (State.ASKING, State.JOINED, State.OWNING)
-
-
 class Word(enum.Enum):
     """What the host does with a request that has come."""
 
@@ -108,6 +105,11 @@
     def may_have_run(self) -> bool:
         return (self.adopted or self.let_go) and any(not intent.fate for intent in self.intents)
 
+    @property
+    def ungranted(self) -> bool:
+        """We act on it, or want to, or wait for it; nobody has said yet that it is new."""
+        return not self.sure and self.state in (State.ASKING, State.JOINED, State.OWNING)
+
     def cover(self, asks: bool) -> Cover:
         return Cover(
             self.key, self.owner, self.epoch, asks, self.mark, self.category, self.effect, self.at,
@@ -616,7 +618,7 @@
         if item is not None and self._free(item):
             self._forget(item)
             item = None
-        unsure = item is not None and not item.sure and item.state in UNSURE
+        unsure = item is not None and item.ungranted
         home = self.view.home(told.key)
         outsider = member not in self.view  # only the home deals with those, and only while it hears them
         asks = told.asks and (home == self.me or not told.granted)
@@ -645,9 +647,7 @@
         elif (item.state is State.KEEPING and item.owner == member and told.epoch >= item.epoch) or (
             told.epoch > item.epoch or (unsure and told.granted)
         ):
-            self._no_longer_ours(item)
-            item.state, item.at_home = State.KEEPING, ""
-            self._merge(item, told)
+            self._keep(item, told)
             self._say_kept(member, told, granted)
         else:
             item.askers[member] = None
@@ -658,13 +658,16 @@
         if item is None:
             if self.kept_bytes <= self.room:
                 self._add(Item(told, State.KEEPING))
-        elif item.state in UNSURE and not item.sure:
-            self._no_longer_ours(item)
-            item.state, item.at_home = State.KEEPING, ""
-            self._merge(item, told)
+        elif item.ungranted:
+            self._keep(item, told)
         elif item.state is State.KEEPING and item.epoch <= told.epoch:
             self._merge(item, told)
 
+    def _keep(self, item: Item, told: Cover) -> None:
+        self._no_longer_ours(item)
+        item.state, item.at_home = State.KEEPING, ""
+        self._merge(item, told)
+
     def _merge(self, item: Item, told: Cover) -> None:
         """The history as both know it: an intent recorded anywhere counts."""
         item.owner, item.epoch, item.until = told.owner, told.epoch, max(item.until, told.until)
@@ -862,7 +865,7 @@
             if item.sure:
                 self._let_go(item)
                 continue
-            if item.state is State.ASKING or item.state is State.OWNING:
+            if item.state in (State.ASKING, State.OWNING):
                 self._own(item)
                 self._start(item)
                 self._let_go(item)
--- a/starlingwheel/fleet/view.py
+++ b/starlingwheel/fleet/view.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+KNOWN = 4096  # names whose first two are kept
+
 
 class Member(msgspec.Struct, frozen=True):
     """One process: `id` is its name and incarnation, new with each start; `term` is new with each entry."""
@@ -27,6 +29,7 @@
         self.members = {member.id: member for member in sorted(members, key=lambda m: m.id)}
         text = "\n".join(f"{m.id} {m.term}" for m in self.members.values()).encode()
         self.digest = int.from_bytes(hashlib.blake2b(text, digest_size=7).digest(), "big")
+        self.best: dict[bytes, list[str]] = {}  # of the names asked for lately, the first two
 
     def __contains__(self, member: str) -> bool:
         return member in self.members
@@ -42,7 +45,13 @@
 
     def home(self, key: bytes, but: str = "") -> str:
         """The one member that says whether a name is new; with `but`, the one if that is lost."""
-        return next((m.id for m in self.ranks(key) if m.id != but), "")
+        best = self.best.get(key)
+        if best is None:
+            # Guards against hashing with each member, over and over, for each word about an item.
+            if len(self.best) >= KNOWN:
+                self.best.clear()
+            best = self.best[key] = [m.id for m in self.ranks(key)[:2]]
+        return next((member for member in best if member != but), "")
 
     def keepers(self, key: bytes, owner: str, count: int, reached: Container[str]) -> list[str]:
         """Who records what `owner` has in hand under that name, of those that it reaches.
@@ -56,23 +65,3 @@
         if chosen and all(m.zone == zone for m in chosen):
             chosen += [m for m in others if m.zone != zone][:1]
         return [m.id for m in chosen]
-
-
-class Lease:
-    """A lease as its holder may trust it: counted from before the renewal was asked for, by its own clock.
-
-    A pause can fall between any look at it and what is done then; what must not happen twice is fenced by
-    epochs, not by this.
-    """
-
-    def __init__(self, seconds: float) -> None:
-        self.seconds, self.until = seconds, float("-inf")
-
-    def renewed(self, asked_at: float, seconds: float) -> None:
-        self.until = max(self.until, asked_at + seconds)
-
-    def lost(self) -> None:
-        self.until = float("-inf")
-
-    def holds(self, now: float) -> bool:
-        return now < self.until
--- a/starlingwheel/net/fleet/arbiter.py
+++ b/starlingwheel/net/fleet/arbiter.py
@@ -1,9 +1,9 @@
 """The arbiter's client: etcd through the JSON gateway of its v3 API, over HTTP/1.1.
 
-Keys and values are in base64, 64-bit numbers are strings, what is zero or false is left out. Two actors:
-`Lessee` holds our lease and our entry, `Onlooker` follows who is in. Neither is part of the ordinary path:
-while the arbiter is gone, slow or talks nonsense, they try again at growing pauses, and all goes on under the
-last view.
+Keys and values are in base64, 64-bit numbers are strings, what is zero or false is left out. Three actors:
+`Lessee` holds our lease and our entry, `Onlooker` follows who is in, `Clerk` ends the entries of processes
+that have ended. None is part of the ordinary path: while the arbiter is gone, slow or talks nonsense, they
+try again at growing pauses, and all goes on under the last view.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 MOST = 1000  # members that are believed
 QUIET = 3.0  # leases without a word after which a watch is begun anew
 RANGE, TXN, WATCH = "/v3/kv/range", "/v3/kv/txn", "/v3/watch"
-GRANT, KEEPALIVE, REVOKE = "/v3/lease/grant", "/v3/lease/keepalive", "/v3/lease/revoke"
+GRANT, KEEPALIVE = "/v3/lease/grant", "/v3/lease/keepalive"
 
 
 class Unfit(Exception):
@@ -111,7 +111,7 @@
 
 
 class Speaker(Actor):
-    """What both have in common: calls over one kept connection, and pauses between tries."""
+    """What they have in common: calls over one kept connection, and pauses between tries."""
 
     lasting = True
 
@@ -123,8 +123,10 @@
         pool: Pool,
         log: Callable[..., None],
         chance: random.Random,
+        fleet: str,
     ) -> None:
         self.addresses, self.lease, self.pool, self.log, self.chance = addresses, lease, pool, log, chance
+        self.prefix = f"/{fleet}/members/"
         self.stream: Stream | None = None
         self.turn, self.pause = 0, 0.0
         self.reasons: Counter[str] = Counter()
@@ -239,19 +241,18 @@
 class Lessee(Speaker):
     """Holds a lease and, under it, our entry among the members."""
 
-    def __init__(self, *given: Any, fleet: str, member: Member, tell: Callable[[Any], None]) -> None:
+    def __init__(self, *given: Any, member: Member, tell: Callable[[Any], None]) -> None:
         super().__init__(*given)
-        self.fleet, self.member, self.tell = fleet, member, tell
-        self.id = ""
+        self.member, self.tell = member, tell
 
     def work(self) -> Coroutine[None]:
         asked = self.loop.now()
         granted = yield from self.call(GRANT, {"TTL": str(int(self.lease))}, Granted)
-        self.id, seconds = granted.ID, number(granted.TTL)
+        lease, seconds = granted.ID, number(granted.TTL)
         put = {
-            "key": b64(f"/{self.fleet}/members/{self.member.id}"),
+            "key": b64(self.prefix + self.member.id),
             "value": b64(msgspec.json.encode(self.member)),
-            "lease": self.id,
+            "lease": lease,
         }
         yield from self.call(TXN, {"compare": [], "success": [{"request_put": put}]}, Decided)
         self.log("arbiter.entered", member=self.member.id, lease_s=seconds)
@@ -263,7 +264,7 @@
             while True:
                 asked = self.loop.now()
                 try:
-                    kept = yield from self.call(KEEPALIVE, {"ID": self.id}, Kept)
+                    kept = yield from self.call(KEEPALIVE, {"ID": lease}, Kept)
                     break
                 except (Lost, Unfit) as error:
                     self.hang_up()
@@ -282,10 +283,6 @@
 class Clerk(Speaker):
     """Ends the entries of members whose process has ended, so that nobody waits for their leases."""
 
-    def __init__(self, *given: Any, fleet: str) -> None:
-        super().__init__(*given)
-        self.prefix = f"/{fleet}/members/"
-
     def work(self) -> Coroutine[None]:
         while True:
             mail = yield None
@@ -310,9 +307,9 @@
 class Onlooker(Speaker):
     """Follows the members: the whole set, then each change of it, in order."""
 
-    def __init__(self, *given: Any, fleet: str, member: Member, tell: Callable[[Any], None]) -> None:
+    def __init__(self, *given: Any, tell: Callable[[Any], None]) -> None:
         super().__init__(*given)
-        self.prefix, self.member, self.tell = f"/{fleet}/members/", member, tell
+        self.tell = tell
         self.members: dict[str, Member] = {}
         self.revision = 0  # up to which all changes are known; 0: none is
 
@@ -330,14 +327,12 @@
         # From where we were: guards against changes that nobody tells.
         create = {"create_request": reach | {"start_revision": str(self.revision + 1)}}
         yield from self.ask(WATCH, create, self.loop.now() + WITHIN * self.lease)
-        line, status = b"", 0
+        line = b""
         while True:
             event = yield from self.event(self.loop.now() + QUIET * self.lease, "quiet")
-            if isinstance(event, h11.Response):
-                status = event.status_code
-                if status != 200:
-                    raise Unfit(f"answered-{status}")
-            elif isinstance(event, h11.Data):
+            if isinstance(event, h11.Response) and event.status_code != 200:
+                raise Unfit(f"answered-{event.status_code}")
+            if isinstance(event, h11.Data):
                 *whole, line = (line + bytes(event.data)).split(b"\n")
                 if len(line) > LINE:
                     raise Unfit("endless")
--- a/starlingwheel/net/fleet/links.py
+++ b/starlingwheel/net/fleet/links.py
@@ -17,12 +17,12 @@
 
 import msgspec
 
-from ...fleet.frames import LONGEST, VERSION, Beat, Frame, Hello
+from ...fleet.frames import LONGEST, Beat, Frame, Hello
 from ...fleet.view import Member, View
 from ..actor import Actor, Coroutine
 from ..loop import READ, WRITE, Loop, Ready
 from ..mail import CLOSE
-from ..wire.address import split
+from ..wire.http import Lost, connect
 from .mail import Framed, LinkDown, LinkUp, Say, Strike, Viewed
 
 BEAT = 0.1  # seconds between words, on a link with something at stake, when there is nothing else to say
@@ -115,6 +115,8 @@
         with contextlib.suppress(BlockingIOError, OSError):
             while True:
                 sock, _ = self.sock.accept()
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 if len(self.new) >= MOST:
                     # Guards against strangers that say nothing keeping out members.
                     next(iter(self.new)).post(CLOSE)
@@ -126,16 +128,11 @@
             if at > now:
                 continue
             self.calling[member] = (now + GREETING + pause, min(2 * pause, PAUSE[1]))
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setblocking(False)
             try:
                 # From the address that we listen on: others tell links apart by it.
-                sock.bind((self.source, 0))
-                with contextlib.suppress(BlockingIOError):
-                    sock.connect(split(self.view.members[member].address))
-            except (OSError, ValueError, OverflowError) as error:
-                sock.close()
-                self.lost(None, member, f"refused: {error}")
+                sock = connect(self.view.members[member].address, self.source)
+            except Lost:
+                self.lost(None, member, "unreachable")
                 continue
             Link(self, sock, member).begin()
 
@@ -197,11 +194,11 @@
         super().__init__(links.loop)
 
     def run(self) -> Coroutine[None]:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
         try:
-            with contextlib.suppress(BlockingIOError):
-                sock.connect(split(self.member.address))
+            sock = connect(self.member.address)
+        except Lost:
+            return
+        try:
             self.loop.watch(sock.fileno(), self, WRITE)
             until = self.loop.now() + GREETING
             if (yield until) is not None:
@@ -209,8 +206,6 @@
                 if (yield until) is not None and self._ended(sock) and self.member.id in self.links.view:
                     self.links.log("member.gone", member=self.member.id)
                     self.links.tell(Strike(self.member))
-        except (OSError, ValueError, OverflowError):
-            pass
         finally:
             self.loop.forget(sock.fileno())
             sock.close()
@@ -234,13 +229,12 @@
         self.links, self.sock, self.member = links, sock, member
         self.called = bool(member)
         self.reader = Reader()
+        self.early: list[Frame] = []  # what came with the greeting
         self.unsent = bytearray()
         self.mask = 0
         self.heard = self.said = 0.0
         self.quick_since, self.quick_until = 0.0, -inf  # something is at stake
         self.over = False
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         links.new[self] = None
         super().__init__(links.loop)
 
@@ -296,21 +290,17 @@
         self._take(self.early)
         while True:
             now = self.loop.now()
-            quick = now < self.quick_until
-            # The other side may think of it as at stake for a moment longer: we go on beating for that.
-            beat_at = self.said + (BEAT if now < self.quick_until + SILENCE * BEAT else IDLE)
             lost_at = self.heard + SILENCE * IDLE
-            if quick:
+            if now < self.quick_until:
                 lost_at = max(self.heard, self.quick_since) + SILENCE * BEAT
             if now >= lost_at:
                 raise Refused("silent")
-            if now >= beat_at:
+            if now >= self._beat_at(now):
                 beat = self.links.beat()
                 if beat.lapsed:
                     self._quicken()
                 self._send(framed(beat))
-                beat_at = now + (BEAT if now < self.quick_until + SILENCE * BEAT else IDLE)
-            mail = yield min(beat_at, lost_at)
+            mail = yield min(self._beat_at(now), lost_at)
             if isinstance(mail, Say):
                 self._quicken()
                 self._send(mail.data)
@@ -322,6 +312,10 @@
             elif mail is CLOSE:
                 raise Refused("replaced")
 
+    def _beat_at(self, now: float) -> float:
+        # The other side may think of it as at stake for a moment longer: we go on beating for that.
+        return self.said + (BEAT if now < self.quick_until + SILENCE * BEAT else IDLE)
+
     def _quicken(self) -> None:
         now = self.loop.now()
         if now >= self.quick_until:
@@ -368,7 +362,3 @@
         elif mask != self.mask:
             self.loop.change(self.sock.fileno(), mask)
         self.mask = mask
-
-
-def greeting(fleet: str, member: str) -> Hello:
-    return Hello(fleet, VERSION, member)
--- a/starlingwheel/net/fleet/module.py
+++ b/starlingwheel/net/fleet/module.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ...decisions.terms import Condition, Effect, Fate, HandOff, Listing, WorkItem
-from ...fleet.cover import UNSENT, WRITTEN_OFF, Covering, Item, Word
+from ...fleet.cover import DEFERRED, FINISHED, MIXED_UP, UNSENT, WRITTEN_OFF, Covering, Item, Word
 from ...fleet.frames import Asked, Beat, Cover, Frame, Intent, Reply
 from ...fleet.part import CoverPart
 from ..mail import CLOSE, Final, Left, Taken
@@ -27,6 +27,7 @@
 ROOM = 1 / 8  # part of the memory limit for what is kept for others
 TICKET = b"idempotency-key"
 BAD = 400
+KINDS = {FINISHED: "finished", DEFERRED: "deferred", WRITTEN_OFF: "written_off"}
 
 
 class Gate:
@@ -53,7 +54,7 @@
 class CoveringModule(Module):
     def __init__(self, node: Node, me: str, part: CoverPart, lapsed: Callable[[Lapsed], None]) -> None:
         """`lapsed` is told when our own entry has gone from the view."""
-        self.me, self.part, self.lapsed = me, part, lapsed
+        self.me, self.lapsed = me, lapsed
         self.categories = frozenset(part.categories)
         self.header = part.name_header.encode()
         self.links: dict[str, Any] = {}
@@ -108,13 +109,8 @@
         """What its client calls it; None: it is not covered."""
         if job.wi.category.name not in self.categories:
             return None
-        name = None
-        for header, value in job.headers:
-            low = header.lower()
-            if low == TICKET or (low == self.header and name is None):
-                name = value
-                if low == TICKET:
-                    break
+        given = {header.lower(): value for header, value in reversed(job.headers)}
+        name = given.get(TICKET, given.get(self.header))
         if name is None:
             self.covering.counts["unnamed"] += 1
         elif isinstance(job.body, Flow):
@@ -144,7 +140,7 @@
                 self._answer_job(job, item.reply)
             case Word.OTHER:
                 self.node.log("cover.other", category=category.name)
-                self._answer_job(job, Reply(422))
+                self._answer_job(job, Reply(MIXED_UP))
             case Word.WAIT:
                 if job.owed:
                     self.items[wi] = item
@@ -246,7 +242,7 @@
             self._forget_if_closed(job)
 
     def _made(self, reply: Reply) -> Final:
-        if reply.status != 200:
+        if reply.status != FINISHED:
             return Final(reply.status, come_back=reply.come_back)
         body = Body(self.node.pool)
         try:
@@ -254,7 +250,7 @@
         except Exhausted:
             body.release()
             return Final(WRITTEN_OFF)
-        return Final(200, Answer(body, reply.kind))
+        return Final(FINISHED, Answer(body, reply.kind))
 
     # What the decisions want.
 
@@ -289,7 +285,7 @@
             body = final.answer.body
             # One that is passed on while it comes can't be given to anybody else.
             whole = b"" if isinstance(body, Flow) else b"".join(body.views())
-            reply = Reply(WRITTEN_OFF if isinstance(body, Flow) else 200, 0.0, final.answer.kind, whole)
+            reply = Reply(WRITTEN_OFF if isinstance(body, Flow) else FINISHED, 0.0, final.answer.kind, whole)
         given = self.covering.answered(item, reply)
         if given is None:
             job.owed = False
@@ -306,6 +302,3 @@
         super()._final(job, final, how)
         # Guards against a second answer being taken for that of the next request on its connection.
         job.client = NOBODY
-
-
-KINDS = {200: "finished", 503: "deferred", 504: "written_off"}
--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -10,12 +10,13 @@
 
 import msgspec
 
+from ...fleet.frames import VERSION, Hello
 from ...fleet.part import FleetPart
 from ...fleet.view import Member
 from ..actor import Coroutine
 from .arbiter import Clerk, Lessee, Onlooker
 from .connection import HoldingConnection
-from .links import Links, greeting
+from .links import Links
 from .mail import Lapsed, Strike, Viewed
 from .module import CoveringModule
 
@@ -36,16 +37,15 @@
         # New with each start, also where two starts are given the same seed.
         self.me = f"{node.config.name or 'sidecar'}.{random.SystemRandom().getrandbits(48):012x}"
         member = Member(self.me, node.config.name, address, node.terms.zone)
-        given = (node.loop, part.arbiter, float(part.lease_s), node.pool, node.log, chance)
-        self.lessee = Lessee(*given, fleet=part.name, member=member, tell=self._tell)
-        self.onlooker = Onlooker(*given, fleet=part.name, member=member, tell=self._tell)
+        given = (node.loop, part.arbiter, float(part.lease_s), node.pool, node.log, chance, part.name)
+        self.lessee = Lessee(*given, member=member, tell=self._tell)
+        self.onlooker = Onlooker(*given, tell=self._tell)
         self.leaving = False
         self.loop, self.lease, self.late_at = node.loop, part.lease_s, inf
-        self.clerk = Clerk(*given, fleet=part.name)
+        self.clerk = Clerk(*given)
         self.module = CoveringModule(node, self.me, part.cover, self._lapsed)
-        self.links = Links(
-            node.loop, sock, greeting(part.name, self.me), self._tell, self.module.beat, node.log, chance
-        )
+        hello = Hello(part.name, VERSION, self.me)
+        self.links = Links(node.loop, sock, hello, self._tell, self.module.beat, node.log, chance)
         node.connection = HoldingConnection
 
     @property
--- a/starlingwheel/net/wire/http.py
+++ b/starlingwheel/net/wire/http.py
@@ -153,12 +153,17 @@
         self.actor = None  # guards against the two holding each other until a collection
 
 
-def connect(address: str) -> socket.socket:
-    """A socket on its way to `address`; when it can be written, `Stream.came_up` says if it got there."""
+def connect(address: str, source: str = "") -> socket.socket:
+    """A socket on its way to `address`; when it can be written, `Stream.came_up` says if it got there.
+
+    `source`: the host that it goes out from, where that matters. Raises `Lost`.
+    """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if source:
+            sock.bind((source, 0))
         with contextlib.suppress(BlockingIOError):
             sock.connect(split(address))
     except (OSError, ValueError, OverflowError) as error:
--- a/starlingwheel/net/wire/operators.py
+++ b/starlingwheel/net/wire/operators.py
@@ -24,6 +24,7 @@
 QUIET = 2.0  # seconds after which a call that is not whole ends
 DUE = 1.0  # seconds within which an answer is due
 LONGEST = 4096
+Done = tuple[str, bytes]  # the id that a call names, and the body of its answer
 OK, BAD, UNKNOWN, METHOD, LATE, LONG, NOT_NOW = 200, 400, 404, 405, 408, 413, 503
 
 
@@ -47,6 +48,7 @@
     def __init__(self, node: Node, sock: socket.socket) -> None:
         self.node, self.sock = node, sock
         self.calls: dict[Call, None] = {}
+        self.known = CALLS | (FLEET_CALLS if node.fleet is not None else {})
         sock.setblocking(False)
         node.loop.watch(sock.fileno(), self, READ)
         super().__init__(node.loop)
@@ -89,20 +91,19 @@
         super().__init__(node.loop)
 
     def run(self) -> Coroutine[None]:
-        target, name, reason = "", "", ""
-        self.told = b""  # the body of its answer
+        target, name, reason, told = "", "", "", b""
         opened = self.loop.now()
         try:
             try:
                 request, body = yield from self._read(opened + QUIET)
                 target = f"{request.method.decode()} {request.target.decode('latin-1')}"
-                name = yield from self._carry_out(request, body, self.loop.now() + DUE * 0.9)
+                name, told = yield from self._carry_out(request, body, self.loop.now() + DUE * 0.9)
                 status = OK
             except Refused as refused:
                 status, reason = refused.status, refused.reason
             took = round((self.loop.now() - opened) * 1000, 1)
             self.node.log("operator.call", call=target, id=name, status=status, reason=reason, took_ms=took)
-            yield from self._write(status)
+            yield from self._write(status, told)
         except Lost as lost:
             self.node.log("operator.left", call=target, reason=str(lost))
         except GeneratorExit:
@@ -142,20 +143,17 @@
                     raise Refused(LATE, "half a call" if request else "no call")
                 self.stream.read()
 
-    def _carry_out(self, request: h11.Request, body: bytes, until: float) -> Coroutine[str]:
-        """Does what the call says; the id that it names."""
+    def _carry_out(self, request: h11.Request, body: bytes, until: float) -> Coroutine[Done]:
+        """Does what the call says."""
         path = request.target.partition(b"?")[0]
-        wanted = b"GET" if path in (b"/_ready", b"/_fleet") else b"PUT"
-        if path not in CALLS and not (path == b"/_fleet" and self.node.fleet is not None):
+        if path not in self.operators.known:
             raise Refused(UNKNOWN, "unknown path")
-        if request.method != wanted:
+        method, carry_out = self.operators.known[path]
+        if request.method != method:
             raise Refused(METHOD, "wrong method")
-        if path == b"/_fleet":
-            self.told = msgspec.json.encode(self.node.fleet.told()) + b"\n"
-            return ""
         while True:
             try:
-                return CALLS[path](self.node, body)
+                return carry_out(self.node, body)
             except Busy:
                 # Guards against waiting for a lock with the loop standing still.
                 if self.loop.now() >= until:
@@ -164,8 +162,7 @@
             except OSError as error:
                 raise Refused(NOT_NOW, f"not written: {error.strerror}") from error
 
-    def _write(self, status: int) -> Coroutine[None]:
-        told = self.told if status == OK else b""
+    def _write(self, status: int, told: bytes) -> Coroutine[None]:
         headers = [(b"Content-Length", str(len(told)).encode()), (b"Connection", b"close")]
         if self.stream.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return  # what came was no HTTP at all, and h11 has nothing to answer to
@@ -194,40 +191,45 @@
     return name
 
 
-def _ready(node: Node, body: bytes) -> str:
+def _ready(node: Node, body: bytes) -> Done:
     if not node.takes_clients:
         raise Refused(NOT_NOW, "no list yet, or stopping")
-    return ""
+    return "", b""
 
 
-def _detach(node: Node, body: bytes) -> str:
+def _fleet(node: Node, body: bytes) -> Done:
+    return "", msgspec.json.encode(node.fleet.told()) + b"\n"
+
+
+def _detach(node: Node, body: bytes) -> Done:
     return _moved(node, _named(body), node.out.take_out)
 
 
-def _attach(node: Node, body: bytes) -> str:
+def _attach(node: Node, body: bytes) -> Done:
     return _moved(node, _named(body), node.out.put_back)
 
 
-def _moved(node: Node, name: str, move: Callable[[str], list[Any] | None]) -> str:
+def _moved(node: Node, name: str, move: Callable[[str], list[Any] | None]) -> Done:
     if (changed := move(name)) is None:
         raise Refused(UNKNOWN, f"{name!r} was never listed")
     node.changed(changed)
-    return name
+    return name, b""
 
 
-def _lameduck(on: bool) -> Callable[[Node, bytes], str]:
-    def said(node: Node, body: bytes) -> str:
+def _lameduck(on: bool) -> Callable[[Node, bytes], Done]:
+    def said(node: Node, body: bytes) -> Done:
         node.out.lameduck(on)
         node.changed([])
-        return ""
+        return "", b""
 
     return said
 
 
 CALLS = {
-    b"/_ready": _ready,
-    b"/_upstreams/detach": _detach,
-    b"/_upstreams/attach": _attach,
-    b"/_lameduck/on": _lameduck(True),
-    b"/_lameduck/off": _lameduck(False),
+    b"/_ready": (b"GET", _ready),
+    b"/_upstreams/detach": (b"PUT", _detach),
+    b"/_upstreams/attach": (b"PUT", _attach),
+    b"/_lameduck/on": (b"PUT", _lameduck(True)),
+    b"/_lameduck/off": (b"PUT", _lameduck(False)),
 }
+FLEET_CALLS = {b"/_fleet": (b"GET", _fleet)}
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -20,6 +20,7 @@
 from starlingwheel.net.fleet.links import Reader, Refused, framed
 from starlingwheel.net.mail import STOP
 from trials.emulated import World
+from trials.rig import free_port
 
 PART = {
     "name": "f",
@@ -28,6 +29,7 @@
     "cover": {"categories": ["buy"]},
 }
 NAMES = ["look", "buy", "move"]
+LOCAL = "127.0.0.1"
 
 
 def test_a_part_that_is_right_is_taken_with_its_defaults():
@@ -221,7 +223,11 @@
 
 
 def entering(make_surroundings, served):
-    part = PART | {"listen": f"127.0.0.1:{free()}", "arbiter": [served.arbiter.server.address], "lease_s": 1}
+    part = PART | {
+        "listen": f"127.0.0.1:{free_port(LOCAL)}",
+        "arbiter": [served.arbiter.server.address],
+        "lease_s": 1,
+    }
     return make_surroundings(fleet=part, settings=SETTINGS)
 
 
@@ -230,12 +236,6 @@
     return entering(make_surroundings, served)
 
 
-def free():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def joined(around):
     return around.node.fleet.joined
 
@@ -320,7 +320,11 @@
 
 
 def test_operators_are_told_who_is_in_and_what_is_covered(make_surroundings, served):
-    part = PART | {"listen": f"127.0.0.1:{free()}", "arbiter": [served.arbiter.server.address], "lease_s": 1}
+    part = PART | {
+        "listen": f"127.0.0.1:{free_port(LOCAL)}",
+        "arbiter": [served.arbiter.server.address],
+        "lease_s": 1,
+    }
     around = make_surroundings(fleet=part, mgmt="127.0.0.1:0")
     around.until(lambda: joined(around))
     asked = around.ask("buy", b"one", x_work_name="w1")
@@ -349,7 +353,11 @@
 
 def test_two_processes_of_one_sidecar_can_both_be_linked_to(make_surroundings, served):
     # Guards against a replacement of the process that can't start for the address that the old one holds.
-    part = PART | {"listen": f"127.0.0.1:{free()}", "arbiter": [served.arbiter.server.address], "lease_s": 1}
+    part = PART | {
+        "listen": f"127.0.0.1:{free_port(LOCAL)}",
+        "arbiter": [served.arbiter.server.address],
+        "lease_s": 1,
+    }
     with socket.socket() as one:
         one.bind(("127.0.0.1", 0))
         one.listen()
--- a/trials/emulated.py
+++ b/trials/emulated.py
@@ -211,7 +211,7 @@
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.hosts: dict[str, Host] = {}
         self.leases: dict[str, tuple[Member, float]] = {}
-        self.arbiter_down_until = 0.0
+        self.arbiter_down_until, self.last_view = 0.0, -1
         self.cut: dict[tuple[str, str], float] = {}
         self.runs: dict[bytes, list[tuple[float, str, int]]] = defaultdict(list)
         self.effects: dict[bytes, str] = {}
@@ -368,7 +368,7 @@
         for member in [m for m, (_, until) in self.leases.items() if until <= self.now]:
             del self.leases[member]
         view = View(member for member, _ in self.leases.values())
-        if view.digest == getattr(self, "last_view", None):
+        if view.digest == self.last_view:
             return
         self.last_view = view.digest
         for host in self.alive():
@@ -536,6 +536,3 @@
     counts["all lost"] = len(world.lost)
     counts |= {"frames": sum(world.frames.values())} | dict(sorted(world.notes.items()))
     return Outcome(seed, counts, world.broken())
-
-
-__all__ = ["HARSH", "Outcome", "Timetable", "UNSENT", "World", "play"]
--- a/trials/hard.py
+++ b/trials/hard.py
@@ -6,32 +6,20 @@
 import signal
 from pathlib import Path
 
-from standins.clients import Work
-
-from .rig import ROOT, Rig, Sidecar
+from .rig import ROOT, Rig
 from .storm import MIX
-from .verdict import Verdict, judge
-
-
-def _in_hand(rig: Rig, sidecar: Sidecar) -> list[Work]:
-    """What clients wait for there, as they see it."""
-    tries = [(w, w.tries[-1]) for w in rig.clients.done if w.tries]
-    return [w for w, last in tries if last.end == "open" and last.sidecar == sidecar.name]
+from .verdict import Verdict
 
 
 async def half(seed: int, sidecars: int = 8, root: Path = ROOT, fleet: bool = True) -> Verdict:
     """Half of the fleet killed in one moment: more than there are keepers. The others serve on."""
     async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
-        start = asyncio.get_running_loop().time()
         sending = asyncio.create_task(rig.clients.send(120.0, 4.5, MIX))
         await asyncio.sleep(1.0)
         for sidecar in rig.chance.sample(rig.sidecars, sidecars // 2):
-            sidecar.kill()
-            rig.clients.avoid.add(sidecar.name)
+            rig.lose(sidecar)
         killed_at = asyncio.get_running_loop().time()
-        await sending
-        await rig.clients.rest(rig.clients.waits + 1)
-        verdict = judge(rig.clients.done, rig.runs, start)
+        verdict = await rig.judged(sending)
         later = [w for w in rig.clients.done if w.at > killed_at + rig.lease]
         # Outside the promise: told, not held against it, but for what began once the view had changed.
         early = [w.name for w in rig.clients.done if w.at <= killed_at + rig.lease]
@@ -47,16 +35,11 @@
     """A loss while bodies of 60 KiB are in hand."""
     async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
         rig.clients.body = lambda work: work.name.encode().ljust(60 * 1024, b".")
-        start = asyncio.get_running_loop().time()
         sending = asyncio.create_task(rig.clients.send(60.0, 2.0, {"buy": 1.0, "move": 1.0}))
         await asyncio.sleep(1.0)
         lost = rig.chance.choice(rig.sidecars)
-        hurt = _in_hand(rig, lost)
-        lost.kill()
-        rig.clients.avoid.add(lost.name)
-        await sending
-        await rig.clients.rest(rig.clients.waits + 1)
-        verdict = judge(rig.clients.done, rig.runs, start)
+        hurt = rig.lose(lost)
+        verdict = await rig.judged(sending)
         verdict.counts["in hand at the loss"] = len(hurt)
         verdict.counts["ticketed of these"] = sum(w.category == "move" for w in hurt)
         verdict.counts["of those finished"] = sum(w.category == "move" and w.finished for w in hurt)
@@ -87,12 +70,11 @@
 async def woken(seed: int, sidecars: int = 5, root: Path = ROOT, fleet: bool = True) -> Verdict:
     """An owner stopped for a second with work in hand, whose clients come again, and then woken."""
     async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
-        start = asyncio.get_running_loop().time()
         rig.clients.waits = 3.0
         sending = asyncio.create_task(rig.clients.send(150.0, 2.0, MIX))
         await asyncio.sleep(0.8)
         owner = rig.chance.choice(rig.sidecars)
-        hurt = _in_hand(rig, owner)
+        hurt = rig.in_hand(owner)
         owner.signal(signal.SIGSTOP)
         rig.clients.avoid.add(owner.name)
         for work in hurt:
@@ -101,9 +83,7 @@
             rig.clients.join(work, rig.chance.choice(others))
         await asyncio.sleep(1.0)
         owner.signal(signal.SIGCONT)
-        await sending
-        await rig.clients.rest(rig.clients.waits + 1)
-        verdict = judge(rig.clients.done, rig.runs, start)
+        verdict = await rig.judged(sending)
         verdict.counts["in hand at the stop"] = len(hurt)
         return verdict
 
@@ -111,7 +91,6 @@
 async def stopped(seed: int, sidecars: int = 5, root: Path = ROOT, fleet: bool = True) -> Verdict:
     """SIGTERM to one after another under load, each started again: nothing is lost or done twice."""
     async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
-        start = asyncio.get_running_loop().time()
         sending = asyncio.create_task(rig.clients.send(120.0, 6.0, MIX))
         for sidecar in rig.sidecars[:3]:
             await asyncio.sleep(0.5)
@@ -122,9 +101,7 @@
             sidecar.start()
             await sidecar.ready()
             rig.clients.avoid.discard(sidecar.name)
-        await sending
-        await rig.clients.rest(rig.clients.waits + 1)
-        verdict = judge(rig.clients.done, rig.runs, start)
+        verdict = await rig.judged(sending)
         if any(not w.finished for w in rig.clients.done):
             lost = [w.name for w in rig.clients.done if not w.finished]
             verdict.broken.append(f"work was lost at a planned stop: {lost[:5]}")
--- a/trials/loss.py
+++ b/trials/loss.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from .rig import ROOT, Rig
-from .verdict import Verdict, judge
+from .verdict import Verdict
 
 
 async def play(
@@ -19,17 +19,11 @@
 ) -> Verdict:
     """Exclusive work for all; one sidecar is killed in the middle."""
     async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
-        start = asyncio.get_running_loop().time()
         sending = asyncio.create_task(rig.clients.send(rate, seconds, {"buy": 1.0}))
         await asyncio.sleep(seconds / 2)
         lost = rig.chance.choice(rig.sidecars)
-        in_hand = [w for w in rig.clients.done if w.tries and w.tries[-1].end == "open"]
-        in_hand = [w for w in in_hand if w.tries[-1].sidecar == lost.name]
-        lost.kill()
-        rig.clients.avoid.add(lost.name)
-        await sending
-        await rig.clients.rest(rig.clients.waits + 1)
-        verdict = judge(rig.clients.done, rig.runs, start)
+        in_hand = rig.lose(lost)
+        verdict = await rig.judged(sending)
         verdict.counts["in hand at the loss"] = len(in_hand)
         verdict.counts["of these finished"] = sum(w.finished for w in in_hand)
         verdict.counts["of these written off"] = sum("504" in w.answers for w in in_hand)
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -18,12 +18,14 @@
 from typing import Any
 
 from standins.arbiter import Arbiter
-from standins.clients import Clients
+from standins.clients import Clients, Work
 from standins.http1 import Broken, Caller
 from standins.listing import Listing
 from standins.relay import Relay, Way
 from standins.upstream import Run, Upstream
 
+from .verdict import Verdict, judge
+
 LOGS = os.environ.get("TRIAL_LOGS", "")  # a folder in which the processes' logs stay, for a look
 ROOT = Path(__file__).parent.parent
 START = 20.0  # seconds within which all are ready, however busy the machine is
@@ -123,13 +125,13 @@
                 if (await caller.call("GET", "/ready", {}))[0] == 200:
                     caller.close()
                     return
-            if self.process is None or self.process.poll() is not None:
+            if not self.alive:
                 break
             await asyncio.sleep(0.02)
         raise RuntimeError(f"{self.name} is not ready: {self.paths['log'].read_text()[-2000:]}")
 
     def signal(self, number: int) -> None:
-        if self.process is not None and self.process.poll() is None:
+        if self.alive:
             os.kill(self.process.pid, number)
 
     def kill(self) -> None:
@@ -142,15 +144,17 @@
         return self.process is not None and self.process.poll() is None
 
     def sees(self, members: int) -> bool:
-        views, up = self.logged("view"), len(self.logged("link.up")) - len(self.logged("link.down"))
+        lines = self.logged("view", "link.up", "link.down")
+        views = [line for line in lines if line["event"] == "view"]
+        up = sum({"link.up": 1, "link.down": -1}.get(line["event"], 0) for line in lines)
         return bool(views) and views[-1]["members"] == members and up >= members - 1
 
-    def logged(self, event: str) -> list[dict[str, Any]]:
+    def logged(self, *events: str) -> list[dict[str, Any]]:
         lines = []
         for line in self.paths["log"].read_text().splitlines():
             with contextlib.suppress(json.JSONDecodeError):
                 lines.append(json.loads(line))
-        return [line for line in lines if line.get("event") == event]
+        return [line for line in lines if line.get("event") in events]
 
 
 class Rig:
@@ -173,6 +177,7 @@
         self.kept = tempfile.TemporaryDirectory(prefix="trial-")
         self.folder = Path(self.kept.name)
         self.runs: list[Run] = []
+        self.start = 0.0  # when all were up
         self.listed: dict[str, dict[str, Any]] = {}  # what the list says otherwise of an upstream
         self.upstreams = [
             Upstream(f"u{i}", ZONES[i % len(ZONES)], random.Random(f"{seed}-u{i}"), service, self.runs)
@@ -205,9 +210,23 @@
         one.front.ways[other.host] = ways[::-1]
         return ways
 
-    def cut(self, one: Sidecar, other: Sidecar) -> None:
-        for way in self.between(one, other):
-            way.cut = True
+    def in_hand(self, sidecar: Sidecar) -> list[Work]:
+        """What clients wait for there, as they see it."""
+        tries = [(w, w.tries[-1]) for w in self.clients.done if w.tries]
+        return [w for w, last in tries if last.end == "open" and last.sidecar == sidecar.name]
+
+    def lose(self, sidecar: Sidecar) -> list[Work]:
+        """Kill one for good: clients that come from now on go elsewhere. What was in hand there."""
+        hurt = self.in_hand(sidecar)
+        sidecar.kill()
+        self.clients.avoid.add(sidecar.name)
+        return hurt
+
+    async def judged(self, sending: asyncio.Task[None]) -> Verdict:
+        """Once all that is sent has come to its end."""
+        await sending
+        await self.clients.rest(self.clients.waits + 1)
+        return judge(self.clients.done, self.runs, self.start)
 
     async def __aenter__(self) -> Rig:
         try:
@@ -232,6 +251,7 @@
         await asyncio.gather(*(sidecar.ready() for sidecar in self.sidecars))
         if self.fleet:
             await self.met(len(self.sidecars))
+        self.start = asyncio.get_running_loop().time()
 
     def told(self) -> str:
         """What the processes' logs say last."""
--- a/trials/storm.py
+++ b/trials/storm.py
@@ -10,7 +10,7 @@
 
 from .rig import ROOT, Rig
 from .timetable import ARBITER, LINKS, LOSSES, Lost, Player, drawn
-from .verdict import Verdict, judge
+from .verdict import Verdict
 
 MIX = {"look": 1.0, "buy": 1.0, "move": 1.0}
 LEFT = 0.4  # seconds that a work item has left at a loss, for the promise that it is finished
@@ -43,23 +43,18 @@
     longest: float,
 ) -> Verdict:
     async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
-        start = asyncio.get_running_loop().time()
         (rig.folder / "start").write_text(f"{time.time()}\n")
         player = Player(rig)
         sending = asyncio.create_task(rig.clients.send(rate, count * every, MIX, twins=0.05))
         faults = drawn(seed, count, every, kinds, sidecars, longest)
         (rig.folder / "faults").write_text("\n".join(map(str, faults)))
         await player.play(faults)
-        await sending
-        await rig.clients.rest(rig.clients.waits + 1)
-        verdict = judge(rig.clients.done, rig.runs, start)
+        verdict = await rig.judged(sending)
         _at_the_losses(verdict, rig, player.lost)
-        verdict.counts["defects"] = sum(
-            len(s.logged("defect")) + len(s.logged("module.defect")) for s in rig.sidecars
-        )
-        if verdict.counts["defects"]:
-            lines = [line for s in rig.sidecars for line in s.logged("defect") + s.logged("module.defect")]
-            verdict.broken.append(f"a defect: {lines[0]}")
+        defects = [line for s in rig.sidecars for line in s.logged("defect", "module.defect")]
+        verdict.counts["defects"] = len(defects)
+        if defects:
+            verdict.broken.append(f"a defect: {defects[0]}")
         return verdict
 
 
--- a/trials/timetable.py
+++ b/trials/timetable.py
@@ -53,7 +53,6 @@
     def __init__(self, rig: Rig) -> None:
         self.rig = rig
         self.lost: list[Lost] = []
-        self.started: list[str] = []
         self.busy: set[str] = set()  # sidecars that are killed or stopped now
 
     async def play(self, faults: list[Fault]) -> None:
