--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -222,13 +222,13 @@
     one.close()
 
 
+def part_at(served):
+    address = f"{LOCAL}:{free_port(LOCAL)}"
+    return PART | {"listen": address, "arbiter": [served.arbiter.server.address], "lease_s": 1}
+
+
 def entering(make_surroundings, served):
-    part = PART | {
-        "listen": f"127.0.0.1:{free_port(LOCAL)}",
-        "arbiter": [served.arbiter.server.address],
-        "lease_s": 1,
-    }
-    return make_surroundings(fleet=part, settings=SETTINGS)
+    return make_surroundings(fleet=part_at(served), settings=SETTINGS)
 
 
 @pytest.fixture
@@ -320,11 +320,7 @@
 
 
 def test_operators_are_told_who_is_in_and_what_is_covered(make_surroundings, served):
-    part = PART | {
-        "listen": f"127.0.0.1:{free_port(LOCAL)}",
-        "arbiter": [served.arbiter.server.address],
-        "lease_s": 1,
-    }
+    part = part_at(served)
     around = make_surroundings(fleet=part, mgmt="127.0.0.1:0")
     around.until(lambda: joined(around))
     asked = around.ask("buy", b"one", x_work_name="w1")
@@ -353,11 +349,7 @@
 
 def test_two_processes_of_one_sidecar_can_both_be_linked_to(make_surroundings, served):
     # Guards against a replacement of the process that can't start for the address that the old one holds.
-    part = PART | {
-        "listen": f"127.0.0.1:{free_port(LOCAL)}",
-        "arbiter": [served.arbiter.server.address],
-        "lease_s": 1,
-    }
+    part = part_at(served)
     with socket.socket() as one:
         one.bind(("127.0.0.1", 0))
         one.listen()
