A deployment that mixes settings is served and told of, not refused; a null is as absent

Cause: settings.check raised for all that _mixed names, though each of them is followed by what it says; and _span and msgspec.convert refused a null, which check takes for absent.

The seven mixtures that tests wanted refused now start, serve and are told by a line each in the log, at the start and at a new configuration; wrong types and unknown words are refused as before. Tests: test_what_is_mixed_is_told_and_followed, test_a_mixture_read_while_it_runs_is_told_and_in_force, test_a_null_is_the_same_as_absent_and_refuses_no_start; they fail without the change.

--- a/starlingwheel/net/lifecycle/signals.py
+++ b/starlingwheel/net/lifecycle/signals.py
@@ -68,6 +68,7 @@
             terms, changed = standing(terms, self.node.terms)
             need_restart |= {f"settings: {name}" for name in changed}
             self.node.retune(terms)
+            self.node.tell_mixed()
         told = sorted(taken - {"named"})
         self.node.log("config.read", taken_over=told, need_restart=sorted(need_restart))
         if "discovery" in taken:
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ...decisions.terms import Category, Effect, News, Terms
+from ...settings import mixed
 from ..actor import Actor
 from ..loop import Loop
 from ..mail import DRAIN, Listed, Retuned
@@ -110,6 +111,11 @@
         self._agree(terms)
         self.module.post(Retuned(self.terms))
 
+    def tell_mixed(self) -> None:
+        """Guards against an operator's slip going unseen; no start is refused for it."""
+        for key, why in mixed(self.config.settings):
+            self.log("settings.mixed", key=key, why=why)
+
     def _agree(self, terms: Terms) -> None:
         """The one place where figures are derived from the terms."""
         self.terms = msgspec.structs.replace(terms, processes=self.processes)
@@ -183,6 +189,7 @@
         times = {"shortest_ms": self.shortest * 1000, "longest_ms": self.longest * 1000}
         name, listen = self.config.name, self.config.listen
         self.log("start", name=name, listen=listen, pid=os.getpid(), **limits, **times)
+        self.tell_mixed()
 
     @property
     def takes_clients(self) -> bool:
--- a/starlingwheel/settings.py
+++ b/starlingwheel/settings.py
@@ -38,10 +38,9 @@
 
 
 def check(given: dict[str, Any]) -> None:
-    """Raises `msgspec.ValidationError`, the key named, for wrong types, unknown words and what contradicts.
+    """Raises `msgspec.ValidationError`, the key named, for wrong types and unknown words.
 
-    The shape whose list is asked for and the one whose list comes unasked are not to be mixed. Only the
-    program checks: the simulator's wire is taken as it comes.
+    Only the program checks: the simulator's wire is taken as it comes.
     """
     for key, words in WORDS.items():
         if (value := _value(given, key)) is not None and value not in words:
@@ -60,12 +59,14 @@
     columns = _value(given, "loadReport.columns")
     if columns is not None and not (isinstance(columns, list) and all(isinstance(c, str) for c in columns)):
         raise msgspec.ValidationError("loadReport.columns: not a list of names")
-    for key, why in _mixed(given):
-        raise msgspec.ValidationError(f"{key}: {why}")
 
 
-def _mixed(given: dict[str, Any]) -> Iterator[tuple[str, str]]:
-    """What contradicts: the key that stands out, and why."""
+def mixed(given: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    """What looks like two kinds of deployment in one: the key that stands out, and why.
+
+    All of it can be followed, each setting by what it says, so it is told and never refused: a deployment may
+    well name a price for what it does not allow.
+    """
     probing, streams = _value(given, "caps.probing", False), _value(given, "caps.streamsPerConn", 1)
     live, how = _value(given, "weightKind") == "live", _value(given, "loadReport.how")
     if _value(given, "discovery", "ask") == "ask":
@@ -106,6 +107,7 @@
     """What is absent takes the meaning that the wire page gives it."""
     if not isinstance(given, dict):
         raise msgspec.ValidationError("not an object")
+    given = _said(given)
     caps, rules, charges, reports = (
         _table(given, name) for name in ("caps", "rules", "charges", "loadReport")
     )
@@ -147,7 +149,12 @@
     table = given.get(name) or {}
     if not isinstance(table, dict):
         raise msgspec.ValidationError(f"{name} is not an object")
-    return table
+    return _said(table)
+
+
+def _said(table: dict[str, Any]) -> dict[str, Any]:
+    """Guards against a null being taken for a wrong type: it is the same as absent."""
+    return {key: value for key, value in table.items() if value is not None}
 
 
 def _span(table: dict[str, Any], name: str) -> float:
@@ -160,6 +167,7 @@
 def _category(given: Any) -> dict[str, Any]:
     if not isinstance(given, dict):
         raise msgspec.ValidationError("a category is not an object")
+    given = _said(given)
     return {
         "name": given.get("name"),
         "effect": EFFECTS.get(given.get("effect", "free"), "exclusive"),
@@ -176,6 +184,7 @@
 def _customer(given: Any) -> dict[str, Any]:
     if not isinstance(given, dict):
         raise msgspec.ValidationError("a tenant is not an object")
+    given = _said(given)
     return {
         "name": given.get("name"),
         "share": given.get("share", 0.0),
