The list: indented objects are read, a silent watch opens anew at once, a pushed list is waited for

An object now ends where its brackets are closed. A spoilt one is still told at once by an empty line or a whole object within it; the case '{' of the older test now has that line behind it. - A silent watch counts as told of what it misses 6 s after it fell silent. It was found after 3 s, then the decisions spread their next call over the fleet: with 200 sidecars 2.0 to 5.9 s, 8.9 s in all. List now opens it anew within 1 s. - Where lists are pushed what the agent has counts as told from the first moment of a process and at once at its return. A start began with the list that was known, and List._ended paused up to 3 s between calls, 4 s for one that hangs. Now nothing is handed off before the first word (12 s at the most), pauses stay under half the grace, which settings now decode (rules.drainGrace), and a call that hangs is made anew after 0.5 s, doubling. Stories of pushed lists let the agent speak first.

--- a/starlingwheel/decisions/terms.py
+++ b/starlingwheel/decisions/terms.py
@@ -98,6 +98,7 @@
     keys_known: bool = False  # an upstream does less work for a key that its cell has met lately
     longest_come_back: float = 0.0
     connect_within: float = 0.0
+    drain_grace: float = 0.0  # after the word that an upstream goes, nothing new comes later; 0: not said
     keep_idle: float = 0.0
     number: int = 0
     processes: int = 1  # of this sidecar, which share its part of what is cold
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -66,7 +66,7 @@
 
             self.connection = Shared
         self.chance = random.Random(config.seed)
-        self.list = List(self, config.known.version if config.known else 0)
+        self.list = List(self, config.known)
         self.fleet: Any = None
         if config.fleet is not None:
             from ..fleet.start import Fleet  # costs a start without it no import
@@ -169,7 +169,7 @@
     def begin(self) -> None:
         if self.datagrams is not None:
             self.datagrams.begin()
-        for actor in (self.signals, self.list, self.module, self.listener, self.pulse, self.stopper):
+        for actor in (self.signals, self.module, self.list, self.listener, self.pulse, self.stopper):
             actor.begin()
         self.drainer.begin()
         if self.passed and (folder := self.environment.get("TMPDIR")):
@@ -178,9 +178,6 @@
             except OSError as error:
                 self.log("beside.failed", error=str(error))
             self.look_beside()
-        # What was known last may be old, or nothing; the decisions begin with it and ask for the list.
-        known = self.config.known.servers if self.config.known else []
-        self.module.post(Listed(News.WHOLE, self.out.listed(True, known)))
         if self.operators is not None:
             self.operators.begin()
         if self.fleet is not None:
--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from math import inf
 from typing import TYPE_CHECKING, Literal
 
@@ -21,7 +22,11 @@
 SILENT = 1.5  # times that, after which it is taken for dead
 PATIENT = 2.0  # times that, for which a call waits for its turn at discovery
 FIRST_PAUSE = 1 / 16  # times that, after which a new discovery is called again; it doubles
+ANEW = 1 / 2  # times that, within which a watch that fell silent is opened anew
+AGENT = 1 / 4  # times that, for which a call to what lists are pushed by waits at first; it doubles
+UNHEARD = 6.0  # times that, after which a start does without that
 LONGEST_LINE = 4 << 20
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 CONDITIONS = {"active": Condition.READY, "leaving": Condition.DRAINING, "left": Condition.GONE}
 
 
@@ -65,27 +70,32 @@
 
     urgent = True  # a change counts as told once discovery has written it: it is read ahead of new work
 
-    def __init__(self, node: Node, address: str, version: int) -> None:
-        self.node, self.address, self.version = node, address, version
+    def __init__(self, node: Node, address: str, version: int, patience: float = PATIENT) -> None:
+        self.node, self.address, self.version, self.patience = node, address, version, patience
         self.stream: Stream | None = None
+        self.reason = "defect"  # why it has ended
+        self.heard = False  # its answer has begun
+        self.part, self.depth = (
+            b"",
+            0,
+        )  # of an object over several lines, and its open brackets
         super().__init__(node.loop)
 
     def run(self) -> Coroutine[None]:
-        reason = "defect"
         try:
             yield from self._follow()
         except Lost as lost:
-            reason = str(lost)
+            self.reason = str(lost)
         except GeneratorExit:
-            reason = "stopped"
+            self.reason = "stopped"
             raise
         finally:
             if self.stream is not None:
                 self.stream.close()
-            self.node.log("list.end", reason=reason, address=self.address, version=self.version)
+            self.node.log("list.end", reason=self.reason, address=self.address, version=self.version)
             self.node.list.post(WatchEnded(self))
 
-    def _await(self, times: float = PATIENT) -> Coroutine[None]:
+    def _await(self, times: float) -> Coroutine[None]:
         until = self.loop.now() + EMPTY_LINE * times
         while True:
             mail = yield until
@@ -101,22 +111,25 @@
         sock = connect(self.address)
         self.stream = stream = Stream(self.loop, self, sock, h11.CLIENT, self.node.pool)
         stream.want(WRITE)
-        yield from self._await()
+        yield from self._await(self.patience)
         stream.came_up()
         target = f"/v1/endpoints?watch=1&from={self.version}"
         headers = [(b"Host", self.address.encode())]
         stream.put(h11.Request(method=b"GET", target=target, headers=headers), h11.EndOfMessage())
         while not stream.write():
-            yield from self._await()
+            yield from self._await(self.patience)
         stream.want(READ)
         line = b""
         while True:
             event = stream.event()
             if event is h11.NEED_DATA:
-                yield from self._await(PATIENT if stream.http.their_state is h11.SEND_RESPONSE else SILENT)
+                begun = stream.http.their_state is not h11.SEND_RESPONSE
+                yield from self._await(SILENT if begun else self.patience)
                 stream.read()
-            elif isinstance(event, h11.Response) and event.status_code != 200:
-                raise Lost(f"answered-{event.status_code}")
+            elif isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    raise Lost(f"answered-{event.status_code}")
+                self.heard = True
             elif isinstance(event, h11.Data):
                 *whole, line = (line + bytes(event.data)).split(b"\n")
                 if len(line) > LONGEST_LINE:
@@ -127,15 +140,47 @@
                 raise Lost("ended")
 
     def _line(self, text: bytes) -> None:
-        if not text.strip():
-            return
+        if (word := self._word(text.strip())) is not None:
+            self._heed(word)
+
+    def _word(self, text: bytes) -> Word | None:
+        """What a line ends: an object lies on one, or, indented, over several. None: nothing yet.
+
+        Raises `Lost` for what can't be read.
+        """
+        if not text:
+            if self.part:
+                raise self._unreadable("an empty line within an object")
+            return None
+        if text.startswith(b"{") and text.endswith(b"}"):
+            try:
+                word = msgspec.json.decode(text, type=Word)
+            except (msgspec.DecodeError, UnicodeDecodeError):
+                pass  # a part of an object that is indented, or spoilt: told below
+            else:
+                if self.part:
+                    raise self._unreadable("an object within another")
+                return word
+        bare = STRING.sub(b"", text)
+        self.depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+        self.part += text
+        if len(self.part) > LONGEST_LINE:
+            raise Lost("line-too-long")
+        if self.depth > 0:
+            return None
+        whole, self.part, self.depth = self.part, b"", 0
         try:
-            word = msgspec.json.decode(text, type=Word)
+            return msgspec.json.decode(whole, type=Word)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            # The last good list stays in force; the whole of it is asked for again.
-            self.version = 0
-            self.node.log("list.unreadable", error=str(error))
-            raise Lost("unreadable") from error
+            raise self._unreadable(str(error)) from error
+
+    def _unreadable(self, why: str) -> Lost:
+        """The last good list stays in force; the whole of it is asked for again."""
+        self.version = 0
+        self.node.log("list.unreadable", error=why)
+        return Lost("unreadable")
+
+    def _heed(self, word: Word) -> None:
         if word.version < self.version and not word.full:
             # Guards against changes out of order putting back what has left: the whole is asked for.
             self.version = 0
@@ -151,26 +196,37 @@
     urgent = True
     lasting = True
 
-    def __init__(self, node: Node, version: int) -> None:
-        self.node, self.version = node, version
+    def __init__(self, node: Node, known: Word | None) -> None:
+        self.node, self.known = node, known
+        self.version = known.version if known else 0
         self.address = node.config.discovery
         self.current: Watch | None = None  # the one whose word is taken
         self.coming: Watch | None = None  # at the address of a new configuration; it has not spoken yet
         self.moving = False
         self.move_at, self.pause = inf, 0.0
+        # Where the list comes unasked it is kept close by, and what is there counts as told at once.
+        self.pushed = not node.terms.must_subscribe
+        self.first = AGENT if self.pushed else PATIENT
+        self.patience = self.first
+        # What pauses between calls grow to; for what is pushed well within the grace, if that is said.
+        grace = node.terms.drain_grace / 4 if self.pushed else 0.0
+        self.longest_pause = min(EMPTY_LINE, grace or EMPTY_LINE)
+        self.without_at = inf  # when what was known is taken for want of a word
         super().__init__(node.loop)
 
     def run(self) -> Coroutine[None]:
-        if not self.node.terms.must_subscribe and self.current is None and self.coming is None:
+        if self.pushed and self.current is None and self.coming is None:
             # The list comes unasked: the decisions never ask, so its watch is begun and kept up here.
             self.current = self._watch(self.version)
         while True:
-            match (yield self.move_at):
+            match (yield min(self.move_at, self.without_at)):
+                case None if self.loop.now() >= self.without_at:
+                    self._begin_with(self.known)
                 case None if self.moving:
                     self._move()
                 case None:
                     self.move_at, self.current = inf, self._watch(self.version)
-                case Subscribe() if self.current is None and not self.moving:
+                case Subscribe() if self.current is None and not self.moving and self.move_at == inf:
                     self.current = self._watch(self.version)
                 case Relocated(address):
                     self._relocated(address)
@@ -179,8 +235,25 @@
                 case WatchEnded(watch):
                     self._ended(watch)
 
+    def begin(self) -> None:
+        if self.pushed and self.known is not None:
+            # Guards against handing off to what has long been told to go: what is there counts as told from
+            # the first moment, so what was known, which may be old, is not begun with while it may yet speak.
+            self.version, self.without_at = 0, self.loop.now() + UNHEARD * EMPTY_LINE
+            self._begin_with(None)
+        else:
+            self._begin_with(self.known)
+        super().begin()
+
+    def _begin_with(self, known: Word | None) -> None:
+        """What was known last may be old, or nothing; the decisions begin with it."""
+        if known is not None:
+            self.without_at = inf
+        entries = self.node.out.listed(True, known.servers if known else [])
+        self.node.module.post(Listed(News.WHOLE, entries))
+
     def _watch(self, version: int) -> Watch:
-        watch = Watch(self.node, self.address, version)
+        watch = Watch(self.node, self.address, version, self.patience)
         watch.begin()
         return watch
 
@@ -203,7 +276,8 @@
             if before is not None:
                 before.post(CLOSE)
         if watch is self.current:
-            self.version, self.pause = word.version, 0.0
+            self.version, self.pause, self.patience = word.version, 0.0, self.first
+            self.without_at = inf
             self.node.module.post(Listed(word.news, self.node.out.listed(word.full, word.servers)))
 
     def _ended(self, watch: Watch) -> None:
@@ -214,10 +288,16 @@
             self.pause = min(2 * self.pause, EMPTY_LINE)
         elif watch is self.current:
             self.current = None
-            if not self.moving:
-                self.version = watch.version
-                self.node.module.post(Listed(News.FAILED, []))
-                if not self.node.terms.must_subscribe:
-                    # Guards against all sidecars calling again in the same moment.
-                    self.pause = min(2 * self.pause, EMPTY_LINE) or FIRST_PAUSE * EMPTY_LINE
-                    self.move_at = self.loop.now() + self.pause * (0.5 + self.node.chance.random())
+            if self.moving:
+                return
+            self.version = watch.version
+            self.node.module.post(Listed(News.FAILED, []))
+            if self.pushed:
+                self.patience = min(2 * self.patience, PATIENT)
+                # Guards against all sidecars calling again in the same moment.
+                self.pause = min(2 * self.pause or FIRST_PAUSE * EMPTY_LINE, self.longest_pause)
+                self.move_at = self.loop.now() + self.pause * (0.5 + self.node.chance.random())
+            elif watch.reason == "silent" and watch.heard:
+                # Guards against what it misses counting as told while the decisions still spread their calls
+                # over the fleet; when each sidecar finds its watch silent is spread by itself.
+                self.move_at = self.loop.now() + ANEW * EMPTY_LINE * self.node.chance.random()
--- a/starlingwheel/settings.py
+++ b/starlingwheel/settings.py
@@ -139,6 +139,7 @@
         "cancel_allowed": caps.get("cancel", False),
         "peers_allowed": caps.get("peers", False),
         "connect_within": _span(caps, "connectTimeout"),
+        "drain_grace": _span(rules, "drainGrace"),
         "keep_idle": _span(caps, "keepalive"),
         "longest_come_back": _span(caps, "maxRetryAfter") if caps.get("retryAfter") else 0.0,
     }
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -372,6 +372,13 @@
             self.say(sock, line)
         return sock, request.target
 
+    def hear(self):
+        """Where the list comes unasked: what it has is told, whole; the watch."""
+        servers = [self.entry(i) for i in range(len(self.listeners))]
+        watch, _ = self.watch({"version": 9, "full": True, "servers": servers})
+        self.until(lambda: self.node.ready)
+        return watch
+
     def say(self, sock, line):
         text = (line if isinstance(line, bytes) else msgspec.json.encode(line)) + b"\n"
         half = len(text) // 2
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -87,11 +87,18 @@
 
 
 @pytest.mark.parametrize(
-    ("line", "reason"),
-    [(b"{", "unreadable"), ({"version": 9, "servers": [{"id": 3}]}, "unreadable"), (b"\xff", "unreadable")],
+    ("lines", "reason"),
+    [
+        ([b"{", b""], "unreadable"),  # the beginning of an indented object; nothing empty lies within one
+        ([b"{", {"version": 9, "servers": []}], "unreadable"),
+        ([b"{]"], "unreadable"),
+        ([b'{"version": }'], "unreadable"),
+        ([{"version": 9, "servers": [{"id": 3}]}], "unreadable"),
+        ([b"\xff"], "unreadable"),
+    ],
 )
-def test_a_line_that_can_not_be_read_leaves_the_last_list_and_the_whole_is_asked_for(around, line, reason):
-    around.watch(line)
+def test_a_line_that_can_not_be_read_leaves_the_last_list_and_the_whole_is_asked_for(around, lines, reason):
+    around.watch(*lines)
     _, target = around.watch(b"")
     assert target.endswith(b"from=0")
     assert reason in around.logged("list.end")[0]["reason"]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -89,6 +89,8 @@
     around = make_surroundings(
         settings=settings | {"categories": categories(), "replicasOfMe": 2, "slotNo": 0}
     )
+    if settings is CLAIMS:
+        around.hear()
     client = around.ask()
     sock = around.serve()
     if settings is CLAIMS:  # that was the question for its load; the work item comes behind it
@@ -148,6 +150,8 @@
     """A refusal to start is worse than a price for what is not allowed: the deployment is served."""
     around = make_surroundings(settings=changed_settings(settings, **changed))
     assert [line["key"] for line in around.logged("settings.mixed")] == named
+    if around.node.list.pushed:
+        around.hear()
     assert around.node.ready
     around.ask()
     around.accept()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -61,7 +61,12 @@
 
 @pytest.fixture
 def shared(make_surroundings):
-    return lambda **given: make_surroundings(settings=NEW, **given)
+    def make(**given):
+        around = make_surroundings(settings=NEW, **given)
+        around.hear()
+        return around
+
+    return make
 
 
 def test_two_work_items_are_on_one_connection_and_answered_in_any_order(shared):
@@ -158,16 +163,16 @@
     assert around.until(lambda: around.logged("upstream.end"))[0]["reason"] == "malformed"
 
 
-def test_a_list_that_comes_unasked_is_followed_and_called_again(shared, monkeypatch):
-    around = shared()
-    sock, _ = around.watch()
-    around.say(sock, {"version": 8, "full": False, "servers": [around.entry(0, state="leaving")]})
-    around.until(lambda: around.logged("list.news"))
+def test_a_list_that_comes_unasked_is_followed_and_called_again(make_surroundings):
+    around = make_surroundings(settings=NEW)
+    sock = around.hear()
+    around.say(sock, {"version": 10, "full": False, "servers": [around.entry(0, state="leaving")]})
+    around.until(lambda: around.node.list.version == 10)
     sock.close()
     sock, target = around.watch()
-    assert target.endswith(b"from=8")
-    around.say(sock, {"version": 9, "full": False, "servers": [around.entry(0)]})
-    around.until(lambda: len(around.logged("list.news")) == 2)
+    assert target.endswith(b"from=10")
+    around.say(sock, {"version": 11, "full": False, "servers": [around.entry(0)]})
+    around.until(lambda: around.node.list.version == 11)
     client = around.ask()
     peer = Peer(around)
     peer.answer(peer.taken(1)[0])
