Start and stop: signals during the start wait to be heard, a second one cuts nothing short, no backlog is reset

SIGTERM in that time ends the process as at any other. - Stopper.run waited by one yield: a second SIGTERM is mail, which ended LINGER at once and closed the listener while new connections went on coming. - Listener's last round ended at the first True of _accept, which it says also when it has let in 64 and more wait: the rest of the backlog was reset with the socket.

--- a/starlingwheel/net/lifecycle/signals.py
+++ b/starlingwheel/net/lifecycle/signals.py
@@ -37,6 +37,8 @@
         signal.set_wakeup_fd(self.theirs.fileno(), warn_on_full_buffer=False)
         self.loop.watch(self.ours.fileno(), self, READ)
         super().begin()
+        # Those that came during the start are heard now (__main__.py).
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, TOLD)
 
     def run(self) -> Coroutine[None]:
         while True:
--- a/starlingwheel/net/lifecycle/stop.py
+++ b/starlingwheel/net/lifecycle/stop.py
@@ -27,10 +27,10 @@
         node.log("stop", clients=len(node.ledger.clients), in_hand=len(node.module.jobs))
         # Where another process has the socket too new connections are its; else they go on coming.
         if not node.passed:
-            yield self.loop.now() + LINGER
+            yield from self._linger()
         node.listener.post(STOP)
         if node.passed:
-            yield self.loop.now() + LINGER
+            yield from self._linger()
         while node.ledger.clients or not node.listener.ended:
             end_idle_clients(node)
             yield self.loop.now() + node.shortest / 64
@@ -38,6 +38,12 @@
             yield from node.fleet.leave()
         self.loop.stop()
 
+    def _linger(self) -> Coroutine[None]:
+        """Guards against a second word to stop cutting short the time for which clients go on coming."""
+        until = self.loop.now() + LINGER
+        while self.loop.now() < until:
+            yield until
+
 
 class Drainer(Actor):
     """Sends clients away while operators say so, and the process stays."""
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -53,6 +53,7 @@
 class Listener(Actor):
     def __init__(self, node: Node, sock: socket.socket) -> None:
         self.node, self.sock = node, sock
+        self.more = False  # some may wait still, though all that one turn may let in have been
         super().__init__(node.loop)
 
     def run(self) -> Coroutine[None]:
@@ -68,14 +69,16 @@
             else:
                 mail = yield None
         # What waits at a socket that another process of this sidecar has too is left to that one.
-        while not self.node.passed and not self._accept():
-            yield self.loop.now() + self.node.shortest / 64
+        # Guards against resetting, with the socket, connections that wait behind those of one turn.
+        while not self.node.passed and (not self._accept() or self.more):
+            yield self.loop.now() + (0 if self.more else self.node.shortest / 64)
         self.loop.forget(self.sock.fileno())
         self.sock.close()
         self.node.log("listener.closed")
 
     def _accept(self) -> bool:
-        """True when all that wait have been let in, or as many as one turn may."""
+        """True when all that wait have been let in, or as many as one turn may (`more`)."""
+        self.more = False
         for _ in range(AT_ONCE):
             if self.node.ledger.closed:
                 return False
@@ -94,7 +97,8 @@
                 # Guards against clients that use none of their connections shutting out others.
                 expendable.post(CLOSE)
                 if self.node.ledger.closed:
-                    return True  # its descriptor is free by the next turn
+                    break  # its descriptor is free by the next turn
+        self.more = True
         return True
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -144,3 +144,91 @@
     assert around.node.list.patience == 2 * discovery.AGENT
     around.hear()
     assert around.node.list.patience == discovery.AGENT
+
+
+# Stop, start and room.
+
+
+def test_all_that_wait_at_the_listener_are_let_in_before_it_closes(around):
+    waiting = [around.ask(lead="GET /ready HTTP/1.1") for _ in range(AT_ONCE + 40)]
+    around.node.listener.post(STOP)
+    around.until(lambda: around.logged("listener.closed"))
+    assert [around.status(client) for client in waiting] == [200] * len(waiting)
+
+
+def test_a_second_word_to_stop_cuts_nothing_short(around, monkeypatch):
+    monkeypatch.setattr(stop, "LINGER", 60.0)
+    around.node.stopper.post(STOP)
+    around.until(lambda: around.node.stopping)
+    for _ in range(3):
+        around.node.stopper.post(STOP)
+        around.let_pass(0.01)
+    assert not around.logged("listener.closed")
+    late = around.ask()
+    around.serve()
+    assert around.status(late) == 200
+
+
+@pytest.fixture
+def starting(tmp_path):
+    """A program that has come as far as reading its configuration, which the story has still to write."""
+    pipe = tmp_path / "config.json"
+    os.mkfifo(pipe)
+    listener = bound()
+    told = {"listen": address(listener), "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    listener.close()
+    process = subprocess.Popen(
+        [sys.executable, "-m", "starlingwheel"],
+        env=os.environ | {"EDGE_CONFIG": str(pipe)}, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+    )  # fmt: skip
+
+    def reader():
+        """The pipe, once it is being read."""
+        while process.poll() is None:
+            with contextlib.suppress(OSError):
+                return os.open(pipe, os.O_WRONLY | os.O_NONBLOCK)
+            time.sleep(0.01)
+        raise AssertionError(f"it has ended: {process.returncode}")
+
+    def write(descriptor):
+        """What is read now; whoever reads it again finds a file in its place."""
+        (tmp_path / "again").write_bytes(msgspec.json.encode(told))
+        os.replace(tmp_path / "again", pipe)
+        os.write(descriptor, msgspec.json.encode(told))
+        os.close(descriptor)
+
+    yield process, reader, write
+    process.kill()
+    process.communicate()
+
+
+def test_a_new_configuration_told_during_the_start_is_read_and_ends_nothing(starting):
+    process, reader, write = starting
+    descriptor = reader()
+    process.send_signal(signal.SIGHUP)
+    write(descriptor)
+    while b'"config.read"' not in (line := process.stdout.readline()):
+        assert line
+    process.send_signal(signal.SIGTERM)
+    process.communicate(timeout=10)
+    assert process.returncode == 0
+
+
+def test_a_word_to_stop_during_the_start_ends_it_as_any_other_time(starting):
+    process, reader, write = starting
+    descriptor = reader()
+    process.send_signal(signal.SIGTERM)
+    write(descriptor)
+    out, errors = process.communicate(timeout=10)
+    assert process.returncode == 0 and errors == b"" and b'"event":"end"' in out
+
+
+@pytest.mark.parametrize("file", ["balancer.toml", "fleet.toml"])
+def test_before_the_interpreter_is_up_a_new_configuration_ends_nothing(tmp_path, file):
+    run = tomllib.loads((Path(__file__).parent.parent / "deploy" / file).read_text())["run"]
+    stand_in = tmp_path / ".venv" / "bin" / "python"
+    stand_in.parent.mkdir(parents=True)
+    stand_in.write_text("#!/bin/sh\nexec grep SigIgn /proc/self/status\n")
+    stand_in.chmod(0o755)
+    out = subprocess.run(["/bin/sh", "-c", run], cwd=tmp_path, capture_output=True, text=True).stdout
+    assert int(out.split()[1], 16) >> (signal.SIGHUP - 1) & 1
