Nothing is written for a client that has left, past its time or to an upstream that was told to go

The same in every state in which work waits, when a late turn reads the client's end and the word that lets it go on together: a retry, a question's answer, a connection that comes up, the held last byte, a body that waits for room (Client._room was deaf to the end meanwhile), a stream. - Where cancelling is not allowed nothing took back what was not written yet. - A hand-off was written once its connection was up whatever the list had said meanwhile (up to a quarter of the shortest due time later), and past its own time after a late turn. Change: one look with the last byte still in hand (upstream.unwanted: final answer given, too late, client's end seen or waiting on its socket) and one before the first byte (upstream.moved: by the last word that has come, read by the module or not). What is stopped so is known not to have run: it goes elsewhere, and nobody is blamed. Also: half a request whose rest waits unread is not cut off to make room; an errand that crosses the end of an old connection is unsent, not unreached.

--- a/starlingwheel/net/fleet/connection.py
+++ b/starlingwheel/net/fleet/connection.py
@@ -50,3 +50,4 @@
         if self.loop.now() > gate.asked + PROMPT:
             # Guards against a pause between the intent and the last byte: others may have gone on since.
             raise Lost(WITHHELD)
+        self._still_wanted(errand)
--- a/starlingwheel/net/fleet/module.py
+++ b/starlingwheel/net/fleet/module.py
@@ -50,6 +50,9 @@
         if isinstance(mail, Final) and mail.answer:
             mail.answer.body.release()
 
+    def has_left(self) -> bool:
+        return False  # what goes on for it does so with nobody waiting
+
 
 NOBODY = Nobody()
 
--- a/starlingwheel/net/memory/out.py
+++ b/starlingwheel/net/memory/out.py
@@ -62,6 +62,11 @@
             joined.append(self.joined(entry))
         return joined
 
+    def current(self, name: str) -> Any | None:
+        """What counts of an upstream by the last word that has come, read by the module yet or not."""
+        entry = self.entries.get(name)
+        return None if entry is None else self.joined(entry)
+
     def joined(self, entry: Any) -> Any:
         if entry.state == "left":
             return entry
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -146,6 +146,10 @@
                 status = 200 if self.node.ready else 503
             else:
                 job = self._take(request)
+                if self.has_left():
+                    # Guards against handing off what waited unread while its client left.
+                    job.body.release()
+                    raise Lost("client-left")
                 taken = True
                 final = yield from self._in_hand(job, self.flow)
                 status = final.status
@@ -219,7 +223,7 @@
             if mail is None:
                 # Guards against half a request, then silence.
                 raise Unfit(408, "half a request")
-            if mail is CLOSE and not self.served and self.begun is not None:
+            if mail is CLOSE and not self.served and self.begun is not None and self.stream.silent():
                 raise Lost("not-needed")
             if mail is STOP or mail is CLOSE:
                 self.closing = "stopping" if mail is STOP else self.closing or "not-needed"
@@ -370,6 +374,9 @@
             if isinstance(mail, Final):
                 return mail
             if isinstance(mail, Ready):
+                if mail.hung_up:
+                    # Guards against sending on what it had written before it left.
+                    raise Lost("client-left")
                 if self.stream.read():
                     self.heard = self.loop.now()
             elif mail is None and self.loop.now() >= self._until():
@@ -377,13 +384,13 @@
                 raise Unfit(408, "half a request")
 
     def _room(self, flow: Flow) -> Coroutine[Any]:
-        """The next mail, unread input left out while there is no room for it."""
+        """The next mail, unread input left out while there is no room for it, but for its end."""
         while not flow.room():
             since = self.loop.now()
-            self.stream.pause()
+            self.stream.want(HANGUP)
             mail = yield None if flow.full else since + self.node.shortest / 64
             self.paused += self.loop.now() - since
-            if isinstance(mail, Final):
+            if isinstance(mail, Final | Ready):
                 return mail
         self.stream.want(READ)
         return (yield self._until())
@@ -470,6 +477,17 @@
         self.node.ledger.forget_client(self)
         self.node.log("client.end", reason=self.reason or "defect", served=self.served)
 
+    def has_left(self) -> bool:
+        """Its end has come, also one that it has not been resumed with yet.
+
+        Guards against a late loop: what has waited is written before its client's end is dealt with.
+        """
+        return (
+            self.ended
+            or any(isinstance(mail, Ready) and mail.hung_up for mail in self.mailbox)
+            or self.stream.ended()
+        )
+
     def undelivered(self, mail: Any) -> None:
         if isinstance(mail, Final) and mail.answer:
             mail.answer.body.release()
--- a/starlingwheel/net/wire/http.py
+++ b/starlingwheel/net/wire/http.py
@@ -111,13 +111,20 @@
 
     def silent(self) -> bool:
         """Nothing has come on it since it was last read, not even its end."""
+        return self._next() is None
+
+    def ended(self) -> bool:
+        """The other side has ended, and all that it sent before has been read."""
+        return self._next() == b""
+
+    def _next(self) -> bytes | None:
+        """The next byte, left where it is; none: the other side has ended, None: it is silent."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            return False
-        return False
+            return b""
 
     def finish(self, until: float, most: int) -> Generator[float | None, Any, None]:
         """Say that nothing follows, then read away what still comes until the other side ends.
--- a/starlingwheel/net/wire/streams.py
+++ b/starlingwheel/net/wire/streams.py
@@ -25,7 +25,7 @@
 from ..memory.buffers import Body, Exhausted
 from ..memory.work import Answer, Errand
 from .http import Lost, Stream, connect
-from .upstream import EARLY, UP, fate_of, request_of, told_load
+from .upstream import EARLY, UP, fate_of, moved, request_of, told_load, unwanted
 
 if TYPE_CHECKING:
     from ..lifecycle.start import Node
@@ -59,6 +59,7 @@
         self.stream: Stream | None = None
         self.http = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding=None))
         self.idle_since = 0.0
+        self.entry = upstream.entry  # as it was when this connection was begun
         self.first = b""
         self.carried = 0
         node.ledger.upstream[self] = None
@@ -86,7 +87,7 @@
             self._close(reason)
 
     def _connect(self) -> Coroutine[None]:
-        sock = connect(self.upstream.entry.addr)
+        sock = connect(self.entry.addr)
         self.stream = Stream(self.loop, self, sock, h11.CLIENT, self.node.pool)
         self.stream.want(WRITE)
         until = self.loop.now() + min(self.node.terms.connect_within, UP * self.node.shortest)
@@ -102,6 +103,7 @@
             self._take(mail)
         self.stream.came_up()
         self.up = True
+        self.idle_since = self.loop.now()
         self.http.initiate_connection()
         self.http.update_settings({h2.settings.SettingCodes.ENABLE_PUSH: 0})
         self.http.increment_flow_control_window(WINDOW)
@@ -164,6 +166,8 @@
         if (
             self.leaving
             or not self.http.open_outbound_streams < self.http.remote_settings.max_concurrent_streams
+            or moved(self.entry, self.node)
+            or unwanted(errand, self.loop.now())
         ):
             self._settle(errand, Fate.UNSENT)
             return
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -19,6 +19,7 @@
 from ..mail import CLOSE, Carry, Closed, Drop, Ended, Free, Moved
 from ..memory.buffers import KEPT, Body, Exhausted
 from ..memory.flow import LONGEST, Flow
+from ..memory.out import OUT
 from ..memory.work import Answer, Errand
 from .http import Lost, Stream, connect
 
@@ -108,6 +109,31 @@
     return figures(text) if text else {}
 
 
+def unwanted(errand: Errand, now: float) -> str:
+    """Why nothing is to be sent for an errand any more, though no word of it has come; empty: it is wanted.
+
+    Looked at with the last byte still in hand. Guards against a late turn, in which a connection is up or has
+    room before the end of a client, the final answer or a time-out has been dealt with; and against sending
+    what may not be cancelled.
+    """
+    if errand.job is None:
+        return ""
+    if not errand.job.owed:
+        return "answered"
+    if now >= errand.until:
+        return "too-late"
+    return "client-left" if errand.job.client.has_left() else ""
+
+
+def moved(entry: Any, node: Node) -> bool:
+    """Discovery or operators have since said that this process goes, or that another is there in its place.
+
+    Guards against beginning a hand-off, once its connection is up, long after its upstream was told to drain.
+    """
+    now = node.out.current(entry.id)
+    return now is None or now.state == OUT or (now.addr, now.started_ms) != (entry.addr, entry.started_ms)
+
+
 class Upstream(Actor):
     """Gives errands to its connections: the one used last first, a new one when none is idle."""
 
@@ -198,6 +224,7 @@
         self.reason = ""
         self.carried = 0
         self.idle_since = self.written_at = 0.0
+        self.entry = upstream.entry  # as it was when this connection was begun
         node.ledger.upstream[self] = None
         node.ledger.note()
         super().__init__(node.loop)
@@ -242,7 +269,7 @@
             return Fate.UNSENT
         if reason == "overdue" and written:
             return Fate.OVERDUE
-        if reason in ("no-buffers", "client-left") and not written:
+        if reason in ("no-buffers", "client-left", "answered", "too-late", "moved") and not written:
             return Fate.UNSENT
         if reason == "answered-early":
             return Fate.TURNED_DOWN
@@ -262,7 +289,7 @@
                 raise Lost("dropped")
 
     def _connect(self) -> Coroutine[None]:
-        sock = connect(self.upstream.entry.addr)
+        sock = connect(self.entry.addr)
         self.stream = Stream(self.loop, self, sock, h11.CLIENT, self.node.pool)
         self.stream.want(WRITE)
         # Guards against a connection that never comes up: a machine that vanished says nothing. What waits
@@ -278,6 +305,10 @@
         if self.carried and not stream.silent():
             # Guards against what came behind the last answer being taken for the next one.
             raise Lost("unasked-bytes")
+        if moved(self.entry, self.node):
+            raise Lost("moved")
+        if unwanted(errand, self.loop.now()):
+            return Fate.UNSENT, {}, None
         self._put(errand)
         if errand.flow is not None:
             yield from self._pass_request(errand, errand.flow)
@@ -327,6 +358,8 @@
                 continue
             # What has been taken is gone: this hand-off is the only one that there will be.
             errand.job.wi.most_hand_offs = 1
+            if flow.whole:
+                self._still_wanted(errand)
             # With the last byte it may run: how many of these arrive is not known if the connection breaks.
             errand.written = flow.taken == flow.length
             try:
@@ -336,6 +369,8 @@
                     self._not_answered_early((yield from self._await(errand.until, "overdue")))
             finally:
                 part.release()
+        if not errand.written:
+            self._still_wanted(errand)
         errand.written = True
         self.stream.put(h11.EndOfMessage())
 
@@ -364,12 +399,18 @@
             raise Lost("overdue")
         if not self.stream.silent():
             raise Lost("reset")
+        self._still_wanted(errand)
         self.stream.unwritten.append(last)
 
+    def _still_wanted(self, errand: Errand) -> None:
+        if reason := unwanted(errand, self.loop.now()):
+            raise Lost(reason)
+
     def _write(self, errand: Errand) -> Coroutine[None]:
         while not self.stream.write():
             self.stream.want(READ | WRITE)
             self._still_unanswered((yield from self._await(errand.until, "overdue")))
+            self._still_wanted(errand)
 
     def _still_unanswered(self, ready: Ready) -> None:
         """Guards against an answer to something else: before its request is written there is none."""
@@ -503,6 +544,7 @@
         self.node.log("upstream.end", reason=self.reason, upstream=name, carried=self.carried)
 
     def undelivered(self, mail: Any) -> None:
-        # Guards against an errand lost because the upstream closed while it was on its way to the connection.
+        # Guards against an errand lost because the upstream closed while it was on its way to the connection,
+        # which was old: that says nothing of the upstream.
         if isinstance(mail, Carry):
-            self.node.module.post(Ended(mail.errand, Fate.UNREACHED))
+            self.node.module.post(Ended(mail.errand, Fate.UNSENT))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -66,6 +66,176 @@
     assert around.read(sock) in (None, b"end")
 
 
+# A client that has left while its request waited: nothing is sent for it.
+
+
+@pytest.mark.parametrize("how", LEAVE)
+@pytest.mark.parametrize("category", ["look", "buy", "move"])
+def test_what_waited_unread_while_its_client_left_is_not_sent_on(around, category, how):
+    kept = around.serve() if around.ask() else None
+    client = around.ask(category, b"" if category == "look" else b"one", x_trace_id="t2")
+    leave(around, client, how)
+    around.until(lambda: around.logged("client.end"))
+    nothing_comes(around, kept)
+    around.quiet()
+    assert around.node.module.counts["left"] == 0 and around.node.pool.in_use == 0
+
+
+def test_a_request_behind_another_is_not_sent_on_once_the_client_has_left(around):
+    client = around.client()
+    client.sendall(around.request() + around.request(x_trace_id="t2"))
+    upstream = around.accept()
+    around.received(upstream)
+    actor, ended = in_hand(around), ready(HANGUP)
+    post = actor.post
+    actor.post = lambda mail: (post(mail), post(ended))  # the answer, and behind it the client's end
+    around.reply(upstream)
+    client.close()
+    around.until(lambda: actor.ended)
+    nothing_comes(around, upstream)
+
+
+@pytest.mark.parametrize("settings", [{}, NO_CANCEL], ids=["cancel", "no cancel"])
+@pytest.mark.parametrize("heard", [True, False], ids=["heard", "not yet heard"])
+def test_a_hand_off_whose_connection_comes_up_after_its_client_left_is_not_written(
+    make_surroundings, settings, heard
+):
+    around = make_surroundings(settings=settings)
+    client = around.ask("buy", b"one")
+    connection = coming_up(around)
+    actor = in_hand(around)
+    with held(around, actor, HANGUP) if not heard else contextlib.nullcontext():
+        with held(around, connection, WRITE):
+            client.close()
+            if heard:
+                around.until(lambda: around.logged("client.end"))
+        nothing_comes(around, around.accept())
+    assert around.until(lambda: not around.node.module.jobs) and around.node.pool.in_use == 0
+
+
+def test_a_client_that_leaves_before_a_retry_ends_it(make_surroundings):
+    around = make_surroundings(upstreams=2)
+    client = around.ask("buy", b"one")
+    i, upstream = around.until(around.accept_any)
+    around.received(upstream)
+    with held(around, in_hand(around), HANGUP):
+        around.reply(upstream, status=503, extra="X-Never-Ran: 1\r\n")
+        client.close()
+        nothing_comes(around, around.accept(1 - i))
+
+
+def test_a_client_that_leaves_while_upstreams_are_asked_is_not_sent_on(make_surroundings):
+    caps = SETTINGS["caps"] | {"peers": False}
+    around = make_surroundings(settings={"caps": caps, "categories": categories(4000000)})
+    client = around.ask("buy", b"one")
+    upstream = around.accept()
+    request, _ = around.received(upstream)
+    assert request.target == b"/health"
+    with held(around, in_hand(around), HANGUP):
+        client.close()
+        around.reply(upstream)
+        nothing_comes(around, upstream)
+
+
+def test_the_last_byte_that_was_held_back_is_not_written_once_the_client_has_left(around, monkeypatch):
+    monkeypatch.setattr("starlingwheel.net.wire.upstream.HELD", 0.2)
+    around.node.resets_until = float("inf")
+    client = around.ask("buy", b"one")
+    upstream = around.accept()
+    got = around.until(lambda: around.read(upstream))
+    assert got.endswith(b"on")
+    with held(around, in_hand(around), HANGUP):
+        client.close()
+        nothing_comes(around, upstream, 0.3)
+
+
+def test_a_client_is_heard_to_leave_while_its_body_waits_for_room(around):
+    """It has written all of its body before: nothing of it is to be handed off whole."""
+    size = 300_000
+    client = around.client()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size * 2)
+    client.settimeout(0)
+    rest = memoryview(around.request("buy", content_length=str(size)) + b"x" * size)
+    upstream = None
+    for listener in around.listeners:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    while rest:
+        with contextlib.suppress(BlockingIOError):
+            rest = rest[client.send(rest) :]
+        around.node.loop.turn(0)
+    upstream = around.accept()
+    flow = around.until(lambda: next((j.body for j in around.node.module.jobs.values()), None))
+    around.until(lambda: flow.full)
+    client.close()
+    assert around.until(lambda: around.logged("client.end"))[0]["reason"] == "client-left"
+    assert not flow.ended
+    got = 0
+    while data := around.until(lambda: around.read(upstream)):
+        if data == b"end":
+            break
+        got += len(data)
+    assert got < size
+
+
+def test_over_http_2_a_stream_is_not_begun_for_a_client_that_has_left(make_surroundings):
+    from test_streams import NEW, Peer
+
+    around = make_surroundings(settings=NEW | {"rules": {}})
+    around.hear()
+    client = around.ask()
+    connection = coming_up(around)
+    with held(around, in_hand(around), HANGUP):
+        client.close()
+        peer = Peer(around)
+        around.until(lambda: connection.up)
+        for _ in range(5):
+            peer.read()
+            around.let_pass(0.01)
+        assert not peer.asked
+
+
+# A hand-off that waited: for an upstream that goes, or past its time.
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [{"state": "leaving"}, {"state": "left"}, {"started_ms": 5}, {"addr": "127.0.0.1:1"}],
+    ids=["drains", "gone", "started anew", "moved"],
+)
+@pytest.mark.parametrize("read", [True, False], ids=["read", "unread"])
+def test_what_is_told_while_a_connection_comes_up_sends_the_work_item_elsewhere(
+    make_surroundings, changed, read
+):
+    """`read`: the module has been given the word; else it lies in its mailbox."""
+    around = make_surroundings(upstreams=2)
+    watch, _ = around.watch(b"")
+    client = around.ask("buy", b"one")
+    connection = coming_up(around)
+    i = int(connection.upstream.entry.id[1:])
+    with held(around, connection, WRITE):
+        around.say(watch, {"version": 8, "servers": [around.entry(i, **changed)]})
+        if read:
+            around.until(lambda: around.logged("list.news"))
+            around.let_pass(0.02)
+        else:
+            post, around.node.module.post = around.node.module.post, lambda mail: None
+            around.until(lambda: around.logged("list.news"))
+            around.node.module.post = post
+    first = around.accept(i)
+    around.serve(1 - i)
+    assert around.status(client) == 200
+    nothing_comes(around, first)
+
+
+def test_a_connection_that_comes_up_past_the_time_of_its_work_item_is_not_written_to(make_surroundings):
+    around = make_surroundings(settings=NO_CANCEL | {"categories": categories(200000)})
+    client = around.ask("buy", b"one", x_expires_in_ms="390")
+    with held(around, coming_up(around), WRITE):
+        time.sleep(0.25)  # a late turn: the connection has come up, and the due time is over
+    nothing_comes(around, around.accept())
+    assert around.status(client) == 503
+
+
 # The list.
 
 
@@ -169,6 +339,34 @@
     assert around.status(late) == 200
 
 
+def test_a_request_of_which_the_rest_waits_unread_is_not_cut_off_to_make_room(around):
+    client = around.client()
+    text = around.request()
+    client.sendall(text[:40])
+    actor = around.until(lambda: next(iter(around.node.ledger.halves), None))
+    client.sendall(text[40:])
+    actor.post(CLOSE)
+    around.serve()
+    assert around.status(client) == 200
+
+
+def test_an_errand_that_crosses_the_end_of_its_connection_is_not_held_against_the_upstream(around):
+    client = around.client()
+    client.sendall(around.request())
+    upstream = around.serve()
+    assert around.status(client) == 200
+    connection = next(iter(around.node.ledger.idle))
+    mailed = []
+    post = connection.post
+    connection.post = lambda mail: (mailed.append(mail), post(CLOSE), post(mail))
+    client.sendall(around.request(x_trace_id="t2"))
+    around.until(lambda: mailed)
+    around.until(lambda: around.logged("upstream.end"))
+    assert not next(iter(around.node.module.runner.balancer.upstreams.values())).unreached
+    assert around.status(client) == 503
+    nothing_comes(around, upstream)
+
+
 @pytest.fixture
 def starting(tmp_path):
     """A program that has come as far as reading its configuration, which the story has still to write."""
