After an answer a connection is listened to for a moment before the next request is written

Upstream._carry gives an errand to the connection used last, and _exchange looked only at what had come by then: a second answer that comes after the next request is written was given out as that one's. The time is lost only where a connection is used again so soon. Test: the second answer is sent while the next errand waits; with the call taken out it is served (seen).

--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -29,6 +29,7 @@
 EARLY = 0.8  # part of the time after which an upstream closes an idle connection, at which we do
 UP = 1 / 4  # part of the shortest due time within which a connection comes up, or is given up
 HELD = 1 / 64  # part of the shortest due time for which the last byte of exclusive work is held back
+RESTED = 1 / 48  # part of it for which a connection is listened to after an answer before the next request
 WARY = 8.0  # longest expiries for which that is done after a connection broke under a request just written
 HOLD = 1 / 2  # part of the due time after which an answer that does not tell its length is passed on
 STALL = 5.0  # seconds without a byte after which an answer that is passed on counts as broken off
@@ -302,6 +303,8 @@
 
     def _exchange(self) -> Coroutine[End]:
         errand, stream = self.errand, self.stream
+        if self.carried:
+            yield from self._listen(errand)
         if self.carried and not stream.silent():
             # Guards against what came behind the last answer being taken for the next one.
             raise Lost("unasked-bytes")
@@ -338,6 +341,16 @@
         self.body.release()
         return fate, report, None
 
+    def _listen(self, errand: Errand) -> Coroutine[None]:
+        """Guards against a second answer to the last request, that comes late, being taken for this one's."""
+        until = self.idle_since + RESTED * self.node.shortest
+        while self.loop.now() < until:
+            mail = yield until
+            if isinstance(mail, Ready) and not self.stream.silent():
+                raise Lost("unasked-bytes")
+            if isinstance(mail, Drop) and mail.errand is errand:
+                raise Lost("dropped")
+
     def _pass_request(self, errand: Errand, flow: Flow) -> Coroutine[None]:
         """Write a body while it comes; what ends it is left to be written."""
         flow.sink = self
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -194,6 +194,23 @@
         assert not peer.asked
 
 
+def test_a_second_answer_that_comes_late_is_not_taken_for_that_of_the_next_request(around, monkeypatch):
+    monkeypatch.setattr("starlingwheel.net.wire.upstream.RESTED", 60.0)
+    client = around.client()
+    client.sendall(around.request())
+    upstream = around.serve(body=b"one")
+    assert around.answer(client)[1] == b"one"
+    client.sendall(around.request(x_trace_id="t2"))
+    job = around.until(lambda: next((j for j in around.node.module.jobs.values() if j.errands), None))
+    errand = next(iter(job.errands.values()))
+    around.until(lambda: errand.connection is not None and not errand.connection.mailbox)
+    nothing_comes(around, upstream)
+    around.reply(upstream, body=b"one")
+    assert around.status(client) == 503
+    assert around.logged("upstream.end")[0]["reason"] == "unasked-bytes"
+    nothing_comes(around, upstream)
+
+
 # A hand-off that waited: for an upstream that goes, or past its time.
 
 
