Endings: what is owed as each thing ends, by path, with its test; covered work is not sent on either

Covered work that may have run went on with new hand-offs once its client had left (CoveringModule._left): a ticketed one was sent to the next upstream after an error.

--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -395,3 +395,35 @@
     assert counts["_name"] == 1
     for name in ("begin", "intend", "hand_on", "answered", "_add", "cover"):
         assert name not in counts
+
+
+# A client that has left: nothing more is sent for it, covered or not.
+
+
+def test_covered_work_whose_client_has_left_is_not_handed_off_again(make_surroundings, served):
+    part = part_at(served) | {"cover": {"categories": ["move"]}}
+    around = make_surroundings(name="n0", fleet=part, upstreams=2)
+    around.until(lambda: joined(around))
+    client = around.ask("move", b"one")
+    i, upstream = around.until(around.accept_any)
+    around.received(upstream)
+    client.close()
+    around.until(lambda: around.logged("client.end"))
+    around.reply(upstream, status=500)
+    around.until(lambda: not around.node.module.jobs)
+    around.quiet(1 - i)
+
+
+def test_what_waits_for_its_keeper_is_not_sent_once_the_client_has_left(member, monkeypatch):
+    member.until(lambda: joined(member))
+    waiting = []
+    module = member.node.module
+    monkeypatch.setattr(module.covering, "hand_on", lambda item, number: waiting.append((item, number)))
+    client = member.ask("buy", b"one", x_work_name="w1")
+    upstream = member.accept()
+    assert member.until(lambda: member.read(upstream)).endswith(b"on")
+    client.close()
+    member.until(lambda: member.logged("client.end"))
+    module.go(*waiting[0])  # the keeper's word comes now
+    member.let_pass(0.05)
+    assert member.read(upstream) in (None, b"end")
