Nobody is asked for its load where answers tell it

Cause: reports there tell what is held and waits, not how busy it is, so what goes on at once is never learned (1.00 in the logs of 60 nodes) and the rule that stops questions (answers tell, two or more go on) never holds. 200 sidecars with three questions a try ask more than upstreams take; Balancer.probed reads one turned down as a full line, what is deferred comes again and asks again, and it does not end. Change: no questions where answers tell, one condition less.

--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -519,8 +519,8 @@
 
     def _questions(self, category: Category) -> int:
         most = 1 if self.subset else 3
-        # Guards against asking where it tells little: several go on at a time, and their answers tell.
-        asks = self.asks and not (self.terms.answers_tell and self.at_once >= 2)
+        # Guards against more questions than upstreams take: those turned down would be read as full lines.
+        asks = self.asks and not self.terms.answers_tell
         return min(most, self._paid_for(category, self._mean_elsewhere())) if asks else 0
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
--- a/starlingwheel/net/fleet/module.py
+++ b/starlingwheel/net/fleet/module.py
@@ -216,8 +216,8 @@
     def _left(self, job: Job, item: Item) -> None:
         over = self.covering.left(item, job)
         if not over and job.wi in self.jobs and job.owed:
-            # Whoever comes again under its name gets its answer: what is out goes on with nobody waiting. Guards
-            # against sending on for one that has left: nothing more is begun, nor what waits for its connection.
+            # Whoever comes again under its name gets its answer: what is out goes on with nobody waiting.
+            # Guards against sending on for one that has left: nothing more is begun, nor what is unwritten.
             job.client = NOBODY
             job.wi.most_hand_offs = 1
             for errand in [errand for errand in job.errands.values() if not errand.written]:
