--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -518,10 +518,10 @@
         return int(gain / max(self.terms.asking_price, 1e-9))
 
     def _questions(self, category: Category) -> int:
-        most = 1 if self.subset else 3
-        # Guards against more questions than upstreams take: those turned down would be read as full lines.
-        asks = self.asks and not self.terms.answers_tell
-        return min(most, self._paid_for(category, self._mean_elsewhere())) if asks else 0
+        # Guards against asking where answers tell, and several go on at a time or it can't be learned.
+        learned = self.at_once < 2 and self.ahead.n + self.busy > 0
+        asks = self.asks and (learned or not self.terms.answers_tell)
+        return min(1 if self.subset else 3, self._paid_for(category, self._mean_elsewhere())) if asks else 0
 
     def _ask(self, wi: WorkItem, due: float, stake: float, most: int, until: float) -> Steps:
         """Ask the first few of the plan, one at a time, until one is free; that one gets the work item."""
