--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -253,6 +253,17 @@
     assert around.status(client) == 503
 
 
+def test_a_hand_off_that_is_unwritten_when_its_work_item_has_its_answer_stays_so(make_surroundings):
+    """Where cancelling is not allowed no word comes to its connection."""
+    around = make_surroundings(settings=NO_CANCEL)
+    client = around.ask()
+    with held(around, coming_up(around), WRITE):
+        around.node.module.write_off(next(iter(around.node.module.jobs)))
+        assert around.status(client) == 504
+    nothing_comes(around, around.accept())
+    assert around.until(lambda: not around.node.module.jobs)
+
+
 # The list.
 
 
