A pushed list's first word may be that nothing has changed since what was known

In the log 'list.news version 0, full false, entries 0': the watch was asked for from version 0, which is the agent's own first version, so it had nothing to say and what was known had been left out. Change: the watch is asked for from the version that was known, and its first word, a change or none, confirms that list.

--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -239,7 +239,7 @@
         if self.pushed and self.known is not None:
             # Guards against handing off to what has long been told to go: what is there counts as told from
             # the first moment, so what was known, which may be old, is not begun with while it may yet speak.
-            self.version, self.without_at = 0, self.loop.now() + UNHEARD * EMPTY_LINE
+            self.without_at = self.loop.now() + UNHEARD * EMPTY_LINE
             self._begin_with(None)
         else:
             self._begin_with(self.known)
@@ -277,6 +277,8 @@
                 before.post(CLOSE)
         if watch is self.current:
             self.version, self.pause, self.patience = word.version, 0.0, self.first
+            if self.without_at < inf and not word.full:
+                self._begin_with(self.known)  # it says what has changed since, be it nothing
             self.without_at = inf
             self.node.module.post(Listed(word.news, self.node.out.listed(word.full, word.servers)))
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -297,16 +297,29 @@
     around.watch(b"")
 
 
-def test_a_pushed_list_is_waited_for_before_anything_is_handed_off(make_surroundings):
+def test_an_agent_that_has_no_news_confirms_what_was_known(make_surroundings):
+    around = make_surroundings(settings=PUSHED)
+    around.watch({"version": 7, "full": False, "servers": []})
+    around.until(lambda: around.node.ready)
+    client = around.ask()
+    around.serve()
+    assert around.status(client) == 200
+
+
+@pytest.mark.parametrize("full", [True, False])
+def test_a_pushed_list_is_waited_for_before_anything_is_handed_off(make_surroundings, full):
     """What its agent has counts as told from the first moment of a process; what was known may be old."""
     around = make_surroundings(upstreams=2, settings=PUSHED)
     assert around.status(around.ask(lead="GET /ready HTTP/1.1")) == 503
     assert around.status(around.ask("buy", b"one")) == 503
     around.quiet(0)
     around.quiet(1)
-    servers = [around.entry(0, state="leaving"), around.entry(1)]
-    _, target = around.watch({"version": 9, "full": True, "servers": servers})
-    assert target.endswith(b"from=0")
+    leaving = around.entry(0, state="leaving")
+    word = {"version": 9, "servers": [leaving]}
+    if full:
+        word = {"version": 9, "full": True, "servers": [leaving, around.entry(1)]}
+    _, target = around.watch(word)
+    assert target.endswith(b"from=7")
     around.until(lambda: around.node.ready)
     around.all_go_to(1, 4)
     around.quiet(0)
