--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -75,10 +75,8 @@
         self.stream: Stream | None = None
         self.reason = "defect"  # why it has ended
         self.heard = False  # its answer has begun
-        self.part, self.depth = (
-            b"",
-            0,
-        )  # of an object over several lines, and its open brackets
+        self.part = b""  # of an object that lies over several lines
+        self.depth = 0  # its brackets that are open
         super().__init__(node.loop)
 
     def run(self) -> Coroutine[None]:
