--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 import h11
 import msgspec
 import pytest
+from known_red import KnownRed
 
 from starlingwheel.decisions.runner import Runner
 from starlingwheel.decisions.terms import (
@@ -29,6 +30,11 @@
 from starlingwheel.net.lifecycle.config import configured
 from starlingwheel.net.lifecycle.start import Node
 
+
+def pytest_configure(config):
+    config.pluginmanager.register(KnownRed(config), "known-red")
+
+
 LOOK = Category("look", Effect.RERUNNABLE, due_time=1.0, payoff=1.0, expiry=3.0)
 BUY = Category("buy", Effect.EXCLUSIVE, due_time=1.0, payoff=8.0, expiry=3.0)
 MOVE = Category("move", Effect.TICKETED, due_time=1.0, payoff=8.0, expiry=3.0, memory=2.0)
