A member's actors of the fleet need no Node: hosting apart from the sidecar's module

A scale run needs members of the very same classes without clients and decisions, and net/fleet/ could only be made from a sidecar's Node.

Fleet takes loop, pool, log, socket, who it is, and makers of its policy's host and of its module. Hosting has what hosts Covering (links by member, frames, views, beats, gates); CoveringModule adds the deciding part; Sidecar puts both on a Node. What discovery says is in wire/entries.py, so that config.py knows no actor.

--- /dev/null
+++ b/starlingwheel/net/fleet/hosting.py
@@ -0,0 +1,187 @@
+"""What hosts `Covering` for one member: links by member, frames, views, the gates of hand-offs.
+
+Who decides on work is another part: a sidecar's module, or whatever else is a member of a fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import inf
+from typing import TYPE_CHECKING, Any
+
+from ...decisions.runner import Runner
+from ...decisions.terms import Terms
+from ...fleet.cover import Covering, Item
+from ...fleet.frames import Beat, Frame, Given, Intent, Reply, Says, Want
+from ...fleet.part import CoverPart, FleetPart
+from ..loop import Loop
+from ..mail import CLOSE
+from .links import framed
+from .mail import WARY, Framed, Lapsed, LinkDown, LinkUp, Recorded, Renewed, Say, Viewed
+from .zones import Zoning
+
+if TYPE_CHECKING:
+    from .policy import Ruling
+
+
+class Gate:
+    """Whether a hand-off may be written whole."""
+
+    __slots__ = ("item", "number", "asked", "open")
+
+    def __init__(self, item: Item, number: int, asked: float) -> None:
+        self.item, self.number, self.asked = item, number, asked
+        self.open = False
+
+
+class Hosting:
+    """For an actor that gets the fleet's mail; what it adds is the deciding part, named below."""
+
+    loop: Loop
+
+    def host(
+        self,
+        loop: Loop,
+        me: str,
+        part: FleetPart,
+        ruling: Ruling,
+        lapsed: Callable[[Lapsed], None],
+        runner: Callable[[], Runner],
+        times: tuple[float, float],
+        room: int,
+        log: Callable[..., None],
+    ) -> None:
+        """`lapsed` is told when our own entry has gone from the view. `times`: shortest due, longest expiry.
+
+        `runner`: whose decisions the plan for zones concerns. `room`: bytes kept for others.
+        """
+        self.me, self.lapsed, self.log = me, lapsed, log
+        self.ruling, self.following = ruling, ruling.following
+        now, (shortest, longest) = loop.now(), times
+        self.zoning = Zoning(me, float(part.lease_s), part.zones, shortest, now, runner, log)
+        self.links: dict[str, Any] = {}
+        self.gates: dict[Any, Gate] = {}
+        self.errands: dict[tuple[Item, int], Any] = {}
+        self.covering = Covering(me, longest, part.cover.keepers, room, self, now)
+        ruling.module = self
+
+    # The deciding part.
+
+    def decide(self, item: Item) -> None:
+        """Decide on it, with its history; what is decided on already goes on."""
+        raise NotImplementedError
+
+    def answer(self, item: Item, client: Any, reply: Reply) -> None:
+        """The final answer for one that waits here."""
+        raise NotImplementedError
+
+    def released(self, errand: Any) -> None:
+        """That hand-off may be written whole."""
+        raise NotImplementedError
+
+    def dropped(self, errand: Any) -> None:
+        """That hand-off is never to be written whole."""
+        raise NotImplementedError
+
+    def cover_by(self, part: CoverPart) -> None:
+        """What is covered from now on."""
+        raise NotImplementedError
+
+    def retuned(self, terms: Terms) -> None:
+        """What the decisions go by from now on."""
+        raise NotImplementedError
+
+    # What the fleet's actors tell.
+
+    def hosted(self, mail: Any, now: float) -> bool:
+        """Take the fleet's mail; False: it is none of that."""
+        self.covering.now = self.following.now = now
+        match mail:
+            case Framed(_, Says() | Want() | Given() as frame):
+                for answer in self.ruling.heard(frame):
+                    self.say(mail.member, answer)
+            case Framed(member, frame):
+                if isinstance(frame, Beat) and frame.word is not None:
+                    self.following.heard(frame.word)
+                self.covering.heard(member, frame)
+            case Recorded(records, gap):
+                self.following.recorded(records, gap)
+                self.zoning.recorded(records, now)
+            case LinkUp(member, link):
+                self.links[member] = link
+                self.covering.up(member)
+            case LinkDown(member, link):
+                if self.links.get(member) is link:
+                    del self.links[member]
+                    self.covering.down(member)
+            case Viewed(view, gap):
+                self.log("view", members=len(view.members), digest=view.digest, ours=self.me in view)
+                if self.me in self.covering.view and self.me not in view:
+                    self.lapsed(Lapsed())
+                if gap:
+                    # Guards against words said under a view between that nobody saw: all is told anew.
+                    for link in self.links.values():
+                        link.post(CLOSE)
+                self.covering.viewed(view, gap)
+            case Renewed(until, entered):
+                self.covering.lease_until = until
+                self.following.renewed(until, entered)
+            case _:
+                return False
+        return True
+
+    def tick(self) -> None:
+        """Something may be due."""
+        self.following.doubt()
+        if self.following.uneasy:
+            for link in self.links.values():
+                link.post(WARY)
+        self.covering.tick()
+
+    def next_at(self, now: float) -> float:
+        """When to call `tick`, whatever comes."""
+        at = self.following.next_at()
+        return min(self.covering.next_at(), at if at > now else inf)
+
+    def beat(self) -> Beat:
+        self.covering.now = self.following.now = self.loop.now()
+        self.following.doubt()
+        lapsed = not self.covering.may_decide() or self.following.uneasy
+        return Beat(self.covering.view.digest, lapsed, self.following.word())
+
+    # The door of the cover.
+
+    def say(self, member: str, frame: Frame) -> bool:
+        link = self.links.get(member)
+        if link is None or link.over:
+            return False
+        link.post(Say(framed(frame)))
+        return True
+
+    def go(self, item: Item, number: int) -> None:
+        if (errand := self.errands.get((item, number))) is not None:
+            self.gates[errand].open = True
+            self.released(errand)
+
+    def stop(self, item: Item, number: int) -> None:
+        if (errand := self.errands.get((item, number))) is not None:
+            self.dropped(errand)
+
+    def note(self, event: str, **fields: Any) -> None:
+        self.log(event, **fields)
+
+    # The gates.
+
+    def hold(self, errand: Any, item: Item, intent: Intent) -> None:
+        """A hand-off is to be made: `released` or `dropped` follows, perhaps at once."""
+        number = self.covering.intend(item, intent)
+        self.gates[errand] = Gate(item, number, intent.at)
+        self.errands[item, number] = errand
+        self.covering.hand_on(item, number)
+
+    def unhold(self, errand: Any) -> Gate | None:
+        """It has ended."""
+        gate = self.gates.pop(errand, None)
+        if gate is not None:
+            del self.errands[gate.item, gate.number]
+        return gate
--- a/starlingwheel/net/fleet/module.py
+++ b/starlingwheel/net/fleet/module.py
@@ -7,18 +7,17 @@
 from math import inf
 from typing import TYPE_CHECKING, Any
 
-from ...decisions.terms import Condition, Effect, Fate, HandOff, Listing, WorkItem
-from ...fleet.cover import DEFERRED, FINISHED, MIXED_UP, UNSENT, WRITTEN_OFF, Covering, Item, Word
-from ...fleet.frames import Asked, Beat, Cover, Frame, Given, Intent, Reply, Says, Want
+from ...decisions.terms import Condition, Effect, Fate, HandOff, Listing, Terms, WorkItem
+from ...fleet.cover import DEFERRED, FINISHED, MIXED_UP, UNSENT, WRITTEN_OFF, Item, Word
+from ...fleet.frames import Asked, Cover, Intent, Reply
 from ...fleet.part import CoverPart, FleetPart
-from ..mail import CLOSE, Final, Left, Taken
+from ..mail import Final, Left, Taken
 from ..memory.buffers import Body, Exhausted
 from ..memory.flow import Flow
 from ..memory.work import Answer, Errand, Job
 from ..module import Module
-from .links import framed
-from .mail import WARY, Framed, Lapsed, LinkDown, LinkUp, Recorded, Released, Renewed, Say, Viewed
-from .zones import Zoning
+from .hosting import Hosting
+from .mail import Lapsed, Released
 
 if TYPE_CHECKING:
     from ..lifecycle.start import Node
@@ -33,16 +32,6 @@
 KINDS = {FINISHED: "finished", DEFERRED: "deferred", WRITTEN_OFF: "written_off"}
 
 
-class Gate:
-    """Whether a hand-off may be written whole."""
-
-    __slots__ = ("item", "number", "asked", "open")
-
-    def __init__(self, item: Item, number: int, asked: float) -> None:
-        self.item, self.number, self.asked = item, number, asked
-        self.open = False
-
-
 class Nobody:
     """Stands where a client stood whose sidecar is lost: its answer is recorded, not written."""
 
@@ -57,26 +46,18 @@
 NOBODY = Nobody()
 
 
-class CoveringModule(Module):
+class CoveringModule(Hosting, Module):
     def __init__(
         self, node: Node, me: str, part: FleetPart, lapsed: Callable[[Lapsed], None], ruling: Ruling
     ) -> None:
         """`lapsed` is told when our own entry has gone from the view."""
-        self.me, self.lapsed = me, lapsed
-        self.zoning = Zoning(
-            me, float(part.lease_s), part.zones, node.shortest, node.loop.now(), lambda: self.runner, node.log
-        )
-        self.ruling, self.following = ruling, ruling.following
         self.deferred = 0  # while it was not known which policy holds
-        self.links: dict[str, Any] = {}
-        self.gates: dict[Errand, Gate] = {}
-        self.errands: dict[tuple[Item, int], Errand] = {}
         self.items: dict[WorkItem, Item] = {}
         room = int(node.config.limits.memory_mb * ROOM * 2**20)
-        self.covering = Covering(me, node.longest, part.cover.keepers, room, self, node.loop.now())
-        super().__init__(node)
+        times = node.shortest, node.longest
+        self.host(node.loop, me, part, ruling, lapsed, lambda: self.runner, times, room, node.log)
+        Module.__init__(self, node)
         self.cover_by(part.cover)
-        ruling.module = self
 
     def cover_by(self, part: CoverPart) -> None:
         """What is covered from now on; items that there are stay so."""
@@ -86,64 +67,24 @@
         # Guards against forgetting what was taken under a longer expiry.
         self.covering.longest = max(self.covering.longest, self.node.longest)
 
+    def retuned(self, terms: Terms) -> None:
+        self.runner.retune(terms)  # in this turn: what comes next is taken under it
+
     def _handle(self, mail: Any) -> None:
-        self.covering.now = self.following.now = self.runner.now
-        match mail:
-            case Taken(job) if self._unruled(job):
-                pass
-            case Taken(job) if (name := self._name(job)) is not None:
-                self._begin(job, name)
-            case Left(job) if (item := self.items.get(job.wi)) is not None:
-                self._left(job, item)
-            case Framed(_, Says() | Want() | Given() as frame):
-                for answer in self.ruling.heard(frame):
-                    self.say(mail.member, answer)
-            case Framed(member, frame):
-                if isinstance(frame, Beat) and frame.word is not None:
-                    self.following.heard(frame.word)
-                self.covering.heard(member, frame)
-            case Recorded(records, gap):
-                self.following.recorded(records, gap)
-                self.zoning.recorded(records, self.runner.now)
-            case LinkUp(member, link):
-                self.links[member] = link
-                self.covering.up(member)
-            case LinkDown(member, link):
-                if self.links.get(member) is link:
-                    del self.links[member]
-                    self.covering.down(member)
-            case Viewed(view, gap):
-                self.node.log("view", members=len(view.members), digest=view.digest, ours=self.me in view)
-                if self.me in self.covering.view and self.me not in view:
-                    self.lapsed(Lapsed())
-                if gap:
-                    # Guards against words said under a view between that nobody saw: all is told anew.
-                    for link in self.links.values():
-                        link.post(CLOSE)
-                self.covering.viewed(view, gap)
-            case Renewed(until, entered):
-                self.covering.lease_until = until
-                self.following.renewed(until, entered)
-            case None:
-                self.following.doubt()
-                if self.following.uneasy:
-                    for link in self.links.values():
-                        link.post(WARY)
-                self.covering.tick()
-                super()._handle(mail)
-            case _:
-                super()._handle(mail)
-        self.alarm_at = min(self.alarm_at, self.covering.next_at(), self._ahead())
-
-    def _ahead(self) -> float:
-        at = self.following.next_at()
-        return at if at > self.runner.now else inf
-
-    def beat(self) -> Beat:
-        self.covering.now = self.following.now = self.loop.now()
-        self.following.doubt()
-        lapsed = not self.covering.may_decide() or self.following.uneasy
-        return Beat(self.covering.view.digest, lapsed, self.following.word())
+        if not self.hosted(mail, self.runner.now):
+            match mail:
+                case Taken(job) if self._unruled(job):
+                    pass
+                case Taken(job) if (name := self._name(job)) is not None:
+                    self._begin(job, name)
+                case Left(job) if (item := self.items.get(job.wi)) is not None:
+                    self._left(job, item)
+                case None:
+                    self.tick()
+                    super()._handle(mail)
+                case _:
+                    super()._handle(mail)
+        self.alarm_at = min(self.alarm_at, self.next_at(self.runner.now))
 
     def _unruled(self, job: Job) -> bool:
         """True: answered here, since it is not known which policy holds. Else it is taken under that one."""
@@ -230,24 +171,14 @@
             job.owed = False
             job.body.release()
 
-    # The door of the cover.
-
-    def say(self, member: str, frame: Frame) -> bool:
-        link = self.links.get(member)
-        if link is None or link.over:
-            return False
-        link.post(Say(framed(frame)))
-        return True
+    # What the cover wants.
 
-    def go(self, item: Item, number: int) -> None:
-        if (errand := self.errands.get((item, number))) is not None:
-            self.gates[errand].open = True
-            if errand.connection is not None:
-                errand.connection.post(Released(errand))
+    def released(self, errand: Errand) -> None:
+        if errand.connection is not None:
+            errand.connection.post(Released(errand))
 
-    def stop(self, item: Item, number: int) -> None:
-        if (errand := self.errands.get((item, number))) is not None:
-            self._drop(errand)
+    def dropped(self, errand: Errand) -> None:
+        self._drop(errand)
 
     def decide(self, item: Item) -> None:
         job = item.main
@@ -295,9 +226,6 @@
     def answer(self, item: Item, client: Job, reply: Reply) -> None:
         self._answer_job(client, reply)
 
-    def note(self, event: str, **fields: Any) -> None:
-        self.node.log(event, **fields)
-
     def _answer_job(self, job: Job, reply: Reply) -> None:
         self.items.pop(job.wi, None)
         deciding = job.wi in self.jobs
@@ -328,18 +256,13 @@
         item = self.items.get(ho.wi)
         if item is None:
             return
-        intent = Intent(listing.address, listing.zone, listing.cell, self.runner.now)
-        number = self.covering.intend(item, intent)
-        self.gates[errand] = Gate(item, number, self.runner.now)
-        self.errands[item, number] = errand
-        self.covering.hand_on(item, number)
+        self.hold(errand, item, Intent(listing.address, listing.zone, listing.cell, self.runner.now))
 
     def _ended(self, errand: Errand, fate: Fate, report: dict[str, float], answer: Any) -> None:
         self.zoning.ended(errand, fate, self.runner.now)
-        if (gate := self.gates.pop(errand, None)) is not None:
-            del self.errands[gate.item, gate.number]
-            if fate.never_ran or not (gate.open and errand.written):
-                self.covering.ended(gate.item, gate.number, fate.value)
+        gate = self.unhold(errand)
+        if gate is not None and (fate.never_ran or not (gate.open and errand.written)):
+            self.covering.ended(gate.item, gate.number, fate.value)
         super()._ended(errand, fate, report, answer)
 
     def _final(self, job: Job, final: Final, how: str) -> None:
--- a/starlingwheel/net/fleet/policy.py
+++ b/starlingwheel/net/fleet/policy.py
@@ -140,7 +140,7 @@
         if policy.body is None or self.module is None:
             return
         self.retune(standing(self._terms(policy.body, self.config), self.terms())[0])
-        self.module.runner.retune(self.terms())  # in this turn: what comes next is taken under it
+        self.module.retuned(self.terms())
         self.module.cover_by(msgspec.convert(policy.body["cover"], CoverPart))
         zones = policy.body.get("zones")
         self.module.zoning.plan_by(None if zones is None else msgspec.convert(zones, ZonesPart))
--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -1,12 +1,13 @@
-"""The fleet's part of a start; loaded only where the configuration has a `fleet` part."""
+"""A member's actors of the fleet, whatever it is that decides on work there."""
 
 from __future__ import annotations
 
 import random
 import socket
 from collections import Counter
+from collections.abc import Callable
 from math import inf
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
@@ -16,50 +17,65 @@
 from ...fleet.records import Txn
 from ...fleet.view import Member
 from ..actor import Coroutine
+from ..loop import Loop
+from ..memory.buffers import Pool
 from .arbiter import Clerk, Lessee, Onlooker, Scribe
-from .calls import CALLS
-from .connection import HoldingConnection
+from .hosting import Hosting
 from .links import Links
 from .mail import WAKE, Lapsed, Recorded, Strike, Viewed
-from .module import CoveringModule
 from .policy import Asker, Ruling
 
 if TYPE_CHECKING:
     from ..lifecycle.config import Config
-    from ..lifecycle.start import Node
 
 
 LEAVING = 1 / 6  # of a lease for which a process that ends waits to be out of the view
 LATE = 8.0  # leases after which a sidecar that can't reach the arbiter serves all the same, uncovered
 
 
-class Fleet:
-    """One sidecar's actors of the fleet."""
+class Who(NamedTuple):
+    """A member as its configuration names it. `zone`: as its settings say."""
+
+    name: str
+    zone: str
+    seed: str
 
-    def __init__(self, node: Node, part: FleetPart, sock: socket.socket) -> None:
-        chance = random.Random(f"{node.config.seed} fleet")
+
+class Fleet:
+    """One member's actors of the fleet."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        log: Callable[..., None],
+        part: FleetPart,
+        sock: socket.socket,
+        who: Who,
+        ruling: Callable[[str], Ruling],
+        module: Callable[[str, Ruling, Callable[[Lapsed], None]], Hosting],
+    ) -> None:
+        """`sock`: listens for links. `ruling`, `module`: make those, for the member of that id.
+
+        `module` is also given whom to tell when our own entry has gone from the view.
+        """
+        chance = random.Random(f"{who.seed} fleet")
         address = part.advertise or "{}:{}".format(*sock.getsockname())
         # New with each start, also where two starts are given the same seed.
-        self.me = f"{node.config.name or 'sidecar'}.{random.SystemRandom().getrandbits(48):012x}"
-        member = Member(self.me, node.config.name, address, node.terms.zone)
-        given = (node.loop, part.arbiter, float(part.lease_s), node.pool, node.log, chance, part.name)
+        self.me = f"{who.name or 'sidecar'}.{random.SystemRandom().getrandbits(48):012x}"
+        member = Member(self.me, who.name, address, who.zone)
+        given = (loop, part.arbiter, float(part.lease_s), pool, log, chance, part.name)
         self.lessee = Lessee(*given, member=member, tell=self._tell)
         self.onlooker = Onlooker(*given, tell=self._tell)
         self.leaving = False
-        self.loop, self.lease, self.late_at = node.loop, part.lease_s, inf
+        self.loop, self.lease, self.late_at = loop, part.lease_s, inf
         self.clerk = Clerk(*given)
-        self.ruling = Ruling(
-            node.config, part, self.me, node.loop.now(), lambda: node.terms, node.retune, node.log
-        )
-        self.module = CoveringModule(node, self.me, part, self._lapsed, self.ruling)
+        self.ruling = ruling(self.me)
+        self.module = module(self.me, self.ruling, self._lapsed)
         self.scribe = Scribe(*given, due=self._due, lease_id=lambda: self.lessee.held)
-        self.calls = CALLS
         hello = Hello(part.name, VERSION, self.me)
-        self.links = Links(
-            node.loop, sock, hello, self._tell, self.module.beat, self.ruling.says, node.log, chance
-        )
+        self.links = Links(loop, sock, hello, self._tell, self.module.beat, self.ruling.says, log, chance)
         self.asker = Asker(self.links, self.ruling.following, self.onlooker, chance, float(part.lease_s))
-        node.connection = HoldingConnection
 
     @property
     def joined(self) -> bool:
--- a/starlingwheel/net/lifecycle/config.py
+++ b/starlingwheel/net/lifecycle/config.py
@@ -11,7 +11,7 @@
 from ... import settings
 from ...decisions.terms import Terms
 from ..wire.address import split
-from ..wire.discovery import Word
+from ..wire.entries import Word
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -69,10 +69,10 @@
         self.list = List(self, config.known)
         self.fleet: Any = None
         if config.fleet is not None:
-            from ..fleet.start import Fleet  # costs a start without it no import
+            from ..fleet.sidecar import Sidecar  # costs a start without it no import
 
             sock = self._bound(socket.SOCK_STREAM, config.fleet.listen, shared=bool(self.passed))
-            self.fleet = Fleet(self, config.fleet, sock)
+            self.fleet = Sidecar(self, config.fleet, sock)
         self.module = self.fleet.module if self.fleet is not None else Module(self)
         self.listener = Listener(
             self, self._passed() if self.passed else self._bound(socket.SOCK_STREAM, config.listen)
--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -4,15 +4,16 @@
 
 import re
 from math import inf
-from typing import TYPE_CHECKING, Literal
+from typing import TYPE_CHECKING
 
 import h11
 import msgspec
 
-from ...decisions.terms import Condition, Listing, News
+from ...decisions.terms import News
 from ..actor import Actor, Coroutine
 from ..loop import READ, WRITE, Ready
 from ..mail import CLOSE, Listed, Relocated, Said, Subscribe, WatchEnded
+from .entries import Word
 from .http import Lost, Stream, connect
 
 if TYPE_CHECKING:
@@ -27,42 +28,6 @@
 UNHEARD = 6.0  # times that, after which a start does without that
 LONGEST_LINE = 4 << 20
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
-CONDITIONS = {"active": Condition.READY, "leaving": Condition.DRAINING, "left": Condition.GONE}
-
-
-class Entry(msgspec.Struct, frozen=True):
-    """One upstream as discovery gives it."""
-
-    id: str
-    addr: str = ""
-    zone: str = ""
-    cell: int = 0
-    state: Literal["active", "leaving", "left"] = "active"
-    weight: float = 1.0
-    started_ms: float | None = 0
-
-    def listing(self) -> Listing:
-        # The id is the same at every sidecar, the address is not: the decisions know the id alone.
-        return Listing(
-            address=self.id,
-            zone=self.zone,
-            cell=self.cell,
-            size=self.weight,
-            started=self.started_ms / 1000 if self.started_ms else None,
-            condition=CONDITIONS[self.state],
-        )
-
-
-class Word(msgspec.Struct, frozen=True):
-    """One line of a watch."""
-
-    version: int
-    full: bool = False
-    servers: list[Entry] = []
-
-    @property
-    def news(self) -> News:
-        return News.WHOLE if self.full else News.CHANGES
 
 
 class Watch(Actor):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -19,7 +19,7 @@
 from starlingwheel.net.memory.beside import Beside
 from starlingwheel.net.memory.connections import Ledger
 from starlingwheel.net.memory.out import FILE, MOST_KNOWN, Busy, Out
-from starlingwheel.net.wire.discovery import Entry
+from starlingwheel.net.wire.entries import Entry
 
 
 @pytest.fixture
