The tests play side by side, by at most four, trials of real processes two at a time

Change: pytest-xdist with groups for the trials of real processes. What tests, stand-ins and rigs bind lies on loopback hosts of their process alone (standins/loopback.py): ports that were let go and given to a child, or that had to refuse, could be taken by another process. A rig's processes share no $TMPDIR. Two stories rested on their order or the clock: calls of the fleet's code were counted while what a story before had left was collected (proved by collecting it in the middle; it is collected before now); a watch that fell silent was first called after 4.9 of the 5 s that a story waits (another seed: 0.9 s).

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -11,9 +11,12 @@
 from .listing import Listing
 from .upstream import Run, Upstream
 
+LOCAL = "127.0.0.1"
+
 
 async def arbiter(port: int) -> None:
     one = Arbiter()
+    one.server.host = LOCAL
     one.server.port = port
     await one.begin()
     print(f"arbiter at {one.server.address}", flush=True)
@@ -25,11 +28,11 @@
     runs: list[Run] = []
     served = [Upstream(f"u{i}", "here", random.Random(i), 0.08, runs) for i in range(3)]
     for number, one in enumerate(served):
-        one.server.port = port + 1 + number
+        one.server.host, one.server.port = LOCAL, port + 1 + number
         await one.server.begin()
     entries = [{"id": u.name, "addr": u.server.address, "zone": u.zone, "state": "active"} for u in served]
     listing = Listing(lambda: entries)
-    listing.server.port = port
+    listing.server.host, listing.server.port = LOCAL, port
     await listing.server.begin()
     print(f"list at {listing.server.address}", flush=True)
     seen = 0
--- a/standins/http1.py
+++ b/standins/http1.py
@@ -12,6 +12,8 @@
 
 import h11
 
+from .loopback import own_host
+
 CHUNK = 65536
 
 
@@ -51,8 +53,9 @@
 class Server:
     """Listens on loopback; `handler` answers each request. `stop` and `begin` may be called in turns."""
 
-    def __init__(self, handler: Handler, host: str = "127.0.0.1") -> None:
-        self.handler, self.host, self.port = handler, host, 0
+    def __init__(self, handler: Handler, host: str = "") -> None:
+        """`host`: where; empty: one of this process alone."""
+        self.handler, self.host, self.port = handler, host or own_host(), 0
         self.server: asyncio.Server | None = None
         self.open: dict[asyncio.StreamWriter, asyncio.Task[Any]] = {}
 
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from .http1 import CHUNK, abort
+from .loopback import own_host
 
 
 @dataclass
@@ -32,10 +33,10 @@
         self,
         target: Callable[[], tuple[str, int]],
         chance: random.Random,
-        host: str = "127.0.0.1",
+        host: str = "",
         said: Callable[[tuple[str, int], tuple[str, int]], None] | None = None,
     ) -> None:
-        self.target, self.chance, self.host, self.said = target, chance, host, said
+        self.target, self.chance, self.host, self.said = target, chance, host or own_host(), said
         self.port = 0
         self.ways: dict[str, tuple[Way, Way]] = {}  # by the host that connects
         self.refusing: set[str] = set()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,7 @@
 import pytest
 from known_red import KnownRed
 
+from standins.loopback import own_host
 from starlingwheel.decisions.runner import Runner
 from starlingwheel.decisions.terms import (
     Category,
@@ -171,7 +172,7 @@
 
 def bound(kind=socket.SOCK_STREAM, backlog=16, listening=True):
     sock = socket.socket(socket.AF_INET, kind)
-    sock.bind(("127.0.0.1", 0))
+    sock.bind((own_host(), 0))
     if kind is socket.SOCK_STREAM and listening:
         sock.listen(backlog)
     sock.settimeout(0)
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -14,6 +14,7 @@
 
 FILE = "KNOWN-RED.txt"
 MOST = 3  # lines
+LISTED = pytest.StashKey[str]()  # of a test that is listed: how, as its name may be written otherwise later
 ISSUE = re.compile(r"#\d+|https?://\S+")
 
 
@@ -63,6 +64,7 @@
     ) -> Iterator[None]:
         there = {item.nodeid: item for item in items}  # before any are deselected
         for test in self.listed.keys() & there.keys():
+            there[test].stash[LISTED] = test
             there[test].add_marker(pytest.mark.xfail(reason=self.listed[test], strict=True))
         yield
         if self.whole:
@@ -71,7 +73,8 @@
     @pytest.hookimpl(wrapper=True, tryfirst=True)
     def pytest_runtest_makereport(self, item: pytest.Item) -> Iterator[None]:
         report = yield
-        if item.nodeid in self.listed and report.skipped and not hasattr(report, "wasxfail"):
+        report.known_red = item.stash.get(LISTED, "")
+        if report.known_red and report.skipped and not hasattr(report, "wasxfail"):
             report.outcome, report.longrepr = (
                 "failed",
                 f"{FILE}: listed, but it did not run: {report.longrepr}",
@@ -79,8 +82,8 @@
         return report
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
-        if report.nodeid in self.listed and (report.when == "call" or not report.passed):
-            self.ended[report.nodeid] = "failed, as known" if hasattr(report, "wasxfail") else "NOT AS KNOWN"
+        if (test := getattr(report, "known_red", "")) and (report.when == "call" or not report.passed):
+            self.ended[test] = "failed, as known" if hasattr(report, "wasxfail") else "NOT AS KNOWN"
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
         if self.listed:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,8 +15,9 @@
 
 import msgspec
 import pytest
-from conftest import SETTINGS, address, bound, categories
+from conftest import SETTINGS, categories
 
+from standins.loopback import free_address
 from starlingwheel.net.lifecycle import stop
 from starlingwheel.net.loop import HANGUP, WRITE, ready
 from starlingwheel.net.mail import CLOSE, STOP
@@ -288,7 +289,7 @@
     make_surroundings, monkeypatch
 ):
     monkeypatch.setattr(discovery, "EMPTY_LINE", 0.1)
-    around = make_surroundings(settings={"replicasOfMe": 400, "rules": {"mustAskIn": 10000000}})
+    around = make_surroundings(settings={"replicasOfMe": 400, "rules": {"mustAskIn": 10000000}}, seed="4")
     around.watch(b"")
     around.until(lambda: around.node.list.current is None)
     assert around.logged("list.end")[0]["reason"] == "silent"
@@ -413,9 +414,7 @@
     """A program that has come as far as reading its configuration, which the story has still to write."""
     pipe = tmp_path / "config.json"
     os.mkfifo(pipe)
-    listener = bound()
-    told = {"listen": address(listener), "discovery": "127.0.0.1:1", "settings": SETTINGS}
-    listener.close()
+    told = {"listen": free_address(), "discovery": "127.0.0.1:1", "settings": SETTINGS}
     process = subprocess.Popen(
         [sys.executable, "-m", "starlingwheel"],
         env=os.environ | {"EDGE_CONFIG": str(pipe)}, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
--- a/tests/test_fleet_policy.py
+++ b/tests/test_fleet_policy.py
@@ -14,6 +14,7 @@
 from conftest import SETTINGS
 from test_fleet_wire import Served, joined, part_at
 
+from standins.loopback import free_address
 from starlingwheel.fleet import common
 from starlingwheel.fleet.policy import Following, Kept
 from starlingwheel.fleet.records import Entry, Records
@@ -62,12 +63,14 @@
     assert explore(Bounds(cuts=0, words=0, stops=1), kind).broken
 
 
+@pytest.mark.xdist_group("trials-1")
 def test_real_processes_have_one_policy_whatever_fails():
     verdict = asyncio.run(policy.changes(1, sidecars=6, count=3))
     assert verdict.kept, verdict.broken
     assert verdict.counts["changes"] == 3 and verdict.counts["answers"] > 500
 
 
+@pytest.mark.xdist_group("trials-2")
 def test_the_rig_sees_two_policies_where_nothing_is_agreed():
     verdict = asyncio.run(policy.changes(1, sidecars=3, count=1, fleet=False))
     assert any(one.startswith("a1 ") or "after it held" in one for one in verdict.broken)
@@ -171,7 +174,7 @@
 
     def __init__(self, make_surroundings, served, tmp_path, **more):
         part = part_at(served) | {"keep": str(tmp_path)} | more
-        self.around = make_surroundings(name="n0", fleet=part, settings=SETTINGS, mgmt=f"127.0.0.1:{port()}")
+        self.around = make_surroundings(name="n0", fleet=part, settings=SETTINGS, mgmt=free_address())
         self.around.until(lambda: joined(self.around))
 
     def say(self, call, told=None):
@@ -187,12 +190,6 @@
         return self.around.node.fleet.ruling.following
 
 
-def port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 @pytest.fixture
 def operated(make_surroundings, served, tmp_path):
     return Operated(make_surroundings, served, tmp_path)
@@ -321,6 +318,7 @@
     assert command("policy", *given)[0] == code
 
 
+@pytest.mark.xdist_group("trials-1")
 def test_the_command_proposes_to_real_processes_and_tells_the_end(tmp_path):
     async def told():
         async with Rig(1, sidecars=3, upstreams=2, lease=1) as rig:
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -13,6 +13,7 @@
 from trials.rig import ROOT, Rig
 
 
+@pytest.mark.xdist_group("trials-1")
 @pytest.mark.parametrize("seed", [1, 2])
 def test_exclusive_work_in_hand_runs_once_when_its_sidecar_is_killed(seed):
     verdict = asyncio.run(loss.play(seed, rate=100))
@@ -23,6 +24,7 @@
     assert counts["finished"] >= counts["work"] - counts["in hand at the loss"] - 4
 
 
+@pytest.mark.xdist_group("trials-1")
 def test_the_rig_sees_what_runs_twice_where_nothing_covers_it():
     verdict = asyncio.run(loss.play(1, fleet=False, rate=200))
     assert not verdict.kept and verdict.counts["of these ran twice"]
@@ -46,12 +48,14 @@
     assert done.stdout.splitlines()[-1] == "[]"
 
 
+@pytest.mark.xdist_group("trials-1")
 @pytest.mark.parametrize("case", ["bodies", "keeper", "stopped"])
 def test_hard_cases_keep_their_promises(case):
     verdict = asyncio.run(hard.CASES[case](1))
     assert verdict.kept, verdict.broken
 
 
+@pytest.mark.xdist_group("trials-2")
 def test_links_with_nothing_at_stake_say_little():
     async def counted():
         async with Rig(1, sidecars=4, upstreams=3) as rig:
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -1,6 +1,7 @@
 """Stories of what the fleet reads: its part of the configuration, frames of links, the arbiter's answers."""
 
 import asyncio
+import gc
 import json
 import os
 import random
@@ -13,6 +14,7 @@
 from conftest import SETTINGS
 
 from standins.arbiter import Arbiter
+from standins.loopback import free_address
 from starlingwheel.fleet import frames
 from starlingwheel.fleet.part import decode
 from starlingwheel.fleet.view import Member, View
@@ -20,7 +22,6 @@
 from starlingwheel.net.fleet.links import Reader, Refused, framed
 from starlingwheel.net.mail import STOP
 from trials.emulated import World
-from trials.rig import free_port
 
 PART = {
     "name": "f",
@@ -29,7 +30,6 @@
     "cover": {"categories": ["buy"]},
 }
 NAMES = ["look", "buy", "move"]
-LOCAL = "127.0.0.1"
 
 
 def test_a_part_that_is_right_is_taken_with_its_defaults():
@@ -227,8 +227,7 @@
 
 
 def part_at(served):
-    address = f"{LOCAL}:{free_port(LOCAL)}"
-    return PART | {"listen": address, "arbiter": [served.arbiter.server.address], "lease_s": 1}
+    return PART | {"listen": free_address(), "arbiter": [served.arbiter.server.address], "lease_s": 1}
 
 
 def entering(make_surroundings, served):
@@ -375,6 +374,7 @@
             name = frame.f_code.co_name
             counts[name] = counts.get(name, 0) + 1
 
+    gc.collect()  # what stories before have left would be closed, and counted, whenever it is collected
     asked = around.ask("buy", b"one", **headers)
     sys.setprofile(count)
     try:
--- a/tests/test_fleet_zones.py
+++ b/tests/test_fleet_zones.py
@@ -37,12 +37,14 @@
     assert play(2, 30, case, kind=kind)[1] and not play(2, 30, case)[1]
 
 
+@pytest.mark.xdist_group("trials-2")
 def test_real_processes_leave_a_zone_that_hangs_and_return():
     verdict = asyncio.run(zones.play(1, sidecars=6, case="hang", after=9.0))
     assert verdict.kept, verdict.broken
     assert verdict.counts["left after ms"] is not None and verdict.counts["whole after s"] is not None
 
 
+@pytest.mark.xdist_group("trials-2")
 def test_real_processes_stay_where_leaving_does_not_help():
     verdict = asyncio.run(zones.play(1, sidecars=6, case="cut", after=1.0))
     assert verdict.kept, verdict.broken
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -16,6 +16,7 @@
 import pytest
 
 def test_good(): pass
+@pytest.mark.xdist_group("some")
 def test_bad(): assert 0
 def test_worse(): assert 0
 def test_skipped(): pytest.skip("not here")
@@ -26,6 +27,8 @@
 def test_ways(way): assert way == "c"
 """
 
+SIDE_BY_SIDE = [(), ("-n", "2", "--dist", "loadgroup")]
+
 
 @pytest.fixture
 def played(pytester):
@@ -36,7 +39,7 @@
 
     def play(*lines, only="good or bad", more=()):
         pytester.path.joinpath("KNOWN-RED.txt").write_text("\n".join(["# why", "", *lines, ""]))
-        return pytester.runpytest("-p", "no:cacheprovider", "-k", only, *more)
+        return pytester.runpytest_subprocess("-p", "no:cacheprovider", "-k", only, *more)
 
     return play
 
@@ -52,7 +55,7 @@
     result.stdout.no_fnmatch_line("*known red*")
 
 
-@pytest.mark.parametrize("more", [(), ("-n", "2")], ids=["one", "side by side"])
+@pytest.mark.parametrize("more", SIDE_BY_SIDE, ids=["one", "side by side"])
 def test_one_that_is_listed_runs_may_fail_and_is_printed(played, more):
     result = played(line("test_bad"), more=more)
     assert result.ret == 0
@@ -68,7 +71,7 @@
     assert result.parseoutcomes() == {"passed": 1, "failed": 1, "xfailed": 1, "deselected": 4}
 
 
-@pytest.mark.parametrize("more", [(), ("-n", "2")], ids=["one", "side by side"])
+@pytest.mark.parametrize("more", SIDE_BY_SIDE, ids=["one", "side by side"])
 def test_one_that_passes_has_to_leave_the_list(played, more):
     result = played(line("test_good"), only="good", more=more)
     assert result.ret == 1
@@ -93,7 +96,7 @@
     assert result.parseoutcomes() == {"passed": 1, "xfailed": 1, "deselected": 5}
 
 
-@pytest.mark.parametrize("more", [(), ("-n", "2")], ids=["one", "side by side"])
+@pytest.mark.parametrize("more", SIDE_BY_SIDE, ids=["one", "side by side"])
 @pytest.mark.parametrize("test", ["test_gone", "test_ways"])
 def test_one_that_does_not_exist_fails_the_run_and_all_others_are_played(played, test, more):
     result = played(line(test), only="good", more=more)
@@ -133,9 +136,8 @@
         (["bad | a race | #7"], "is not"),
     ],
 )
-@pytest.mark.parametrize("more", [(), ("-n", "2")], ids=["one", "side by side"])
-def test_a_line_that_can_not_be_read_or_is_too_many_ends_the_run(played, lines, told, more):
-    result = played(*lines, more=more)
+def test_a_line_that_can_not_be_read_or_is_too_many_ends_the_run(played, lines, told):
+    result = played(*lines, more=("-n", "2") if len(lines) > 1 else ())
     assert result.ret == pytest.ExitCode.USAGE_ERROR
     result.stderr.fnmatch_lines([f"*KNOWN-RED.txt: line {2 + len(lines)} {told}*"])
     result.stdout.no_fnmatch_line("*passed*")
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -12,6 +12,7 @@
 import pytest
 from conftest import SETTINGS, address, bound, categories
 
+from standins.loopback import free_address
 from starlingwheel.decisions.terms import Condition
 from starlingwheel.net.actor import Actor
 from starlingwheel.net.lifecycle.config import Unusable, configured
@@ -19,6 +20,7 @@
 from starlingwheel.net.loop import READ, Loop
 from starlingwheel.net.mail import STOP
 from starlingwheel.net.wire import discovery
+from starlingwheel.net.wire.address import split
 
 
 def serve(around, client, i=0):
@@ -320,10 +322,8 @@
 @pytest.fixture
 def program(tmp_path):
     """Starts the program itself, as its users do; the list is empty."""
-    listener = bound()
-    listen = listener.getsockname()
-    told = {"listen": address(listener), "discovery": "127.0.0.1:1", "settings": SETTINGS}
-    listener.close()
+    listen = free_address()
+    told = {"listen": listen, "discovery": "127.0.0.1:1", "settings": SETTINGS}
     path = tmp_path / "config.json"
     path.write_bytes(msgspec.json.encode(told))
     command = [sys.executable, "-m", "starlingwheel"]
@@ -334,7 +334,7 @@
         process = subprocess.Popen(command, env=environment, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
         started.append(process)
         assert b'"start"' in process.stdout.readline()
-        return process, listen
+        return process, split(listen)
 
     yield start
     for process in started:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -14,11 +14,13 @@
 import pytest
 from conftest import SETTINGS, address, bound
 
+from standins.loopback import free_address
 from starlingwheel.decisions.terms import Condition
 from starlingwheel.net.lifecycle.config import Unusable
 from starlingwheel.net.memory.beside import Beside
 from starlingwheel.net.memory.connections import Ledger
 from starlingwheel.net.memory.out import FILE, MOST_KNOWN, Busy, Out
+from starlingwheel.net.wire.address import split
 from starlingwheel.net.wire.discovery import Entry
 
 
@@ -350,6 +352,7 @@
                     sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + trace.ljust(16))
 
 
+@pytest.mark.xdist_group("trials-1")
 def test_under_load_a_process_is_replaced_and_no_request_is_lost_or_run_twice(tmp_path):
     """Clients with kept connections go on asking while a second process takes over the passed socket."""
     upstream, passed, chance = Upstreams(), bound(backlog=256), random.Random(5)
@@ -359,13 +362,12 @@
     processes, ended, lost, answered, deferred = [], threading.Event(), [], [], []
 
     def start(number):
-        mgmt = bound()
+        mgmt = free_address()
         path = tmp_path / f"config{number}.json"
         told = {"listen": address(passed), "discovery": "127.0.0.1:1", "settings": settings}
-        told |= {"known": {"version": 7, "full": True, "servers": servers}, "mgmt": address(mgmt)}
+        told |= {"known": {"version": 7, "full": True, "servers": servers}, "mgmt": mgmt}
         path.write_bytes(msgspec.json.encode(told))
-        place = mgmt.getsockname()
-        mgmt.close()
+        place = split(mgmt)
         environment = os.environ | {
             "EDGE_CONFIG": str(path),
             "EDGE_PASSED_SOCKET": str(passed.fileno()),
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -10,7 +10,6 @@
 import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -22,6 +21,7 @@
 from standins.clients import Clients, Work
 from standins.http1 import Broken, Caller
 from standins.listing import Listing
+from standins.loopback import free_ports, own_host
 from standins.relay import Relay, Way
 from standins.upstream import Run, Upstream
 
@@ -46,7 +46,6 @@
 }  # fmt: skip
 
 
-PORTS = random.SystemRandom()
 MODULE = ["-m", "starlingwheel"]
 AHEAD = (
     "import sys, time; real = time.time; time.time = lambda: real() + {};"
@@ -59,23 +58,14 @@
     ctypes.CDLL(None).prctl(DIE_WITH_PARENT, signal.SIGKILL)
 
 
-def free_port(host: str) -> int:
-    """One that no connection goes out from by chance."""
-    while True:
-        port = PORTS.randrange(10_000, 32_000)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind((host, port))
-            return port
-
-
 class Sidecar:
     """One real process, started again under the same name and addresses."""
 
     def __init__(self, rig: Rig, number: int) -> None:
         self.rig, self.number, self.name = rig, number, f"n{number}"
-        self.host = f"127.0.1.{number + 1}"
+        self.host = own_host(1 + number)
         self.zone = ZONES[number % len(ZONES)]
-        self.port, self.mgmt, self.fleet_port = (free_port(self.host) for _ in range(3))
+        self.port, self.mgmt, self.fleet_port = free_ports(self.host, 3)
         self.process: subprocess.Popen[bytes] | None = None
         self.memory_mb = 192.0
         self.ahead = 0.0  # seconds that its clock is ahead
@@ -129,11 +119,13 @@
     def start(self) -> None:
         """Also again: with the same name and addresses, and a seed of its own."""
         self.paths["json"].write_text(json.dumps(self.configuration()))
+        # Guards against what operators said being shared by all: they have no folder that outlives them.
+        environment = {name: value for name, value in os.environ.items() if name != "TMPDIR"}
         with self.paths["log"].open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-B", *(["-c", AHEAD.format(self.ahead)] if self.ahead else MODULE)],
                 cwd=self.rig.root, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                env=os.environ | {"EDGE_CONFIG": str(self.paths["json"])}, preexec_fn=_die_with_parent,
+                env=environment | {"EDGE_CONFIG": str(self.paths["json"])}, preexec_fn=_die_with_parent,
             )  # fmt: skip
 
     async def ready(self) -> None:
