A request goes by a connection that has rested, or a new one, in place of waiting

Cause: Connection._listen held each request that met a connection which had answered less than 1/48 of the shortest due time before (20.8 ms at a second), and Upstream._carry always took the connection used last, so that the ordinary path waited. Change: of idle connections the one used last that has rested; then a new one where the limits leave room; only where they don't, the one idle the longest, and it is listened to first only while second answers have come within eight of the longest expiries (Node.unasked_until). Bytes nobody asked for set that wherever they are found: at rest, behind an answer, before a request, at a close. An end does not, and is logged as upstream-closed also where it was called unasked-bytes. Stories that used a connection anew at once now let it rest first (Surroundings.rested); a second request behind the first is served on a connection of its own. The story of the late second answer is two: one with room for a new connection, one without, where it asserts what it did.

--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -58,6 +58,7 @@
         self.out = Out(environment.get("TMPDIR") if config.mgmt else None, self.loop.now, self.log)
         self.in_hand: set[bytes] = set()  # the traces of what clients wait for
         self.resets_until = -inf  # until then connections to upstreams are taken to break at any time
+        self.unasked_until = -inf  # until then second answers are taken to come at any time
         self.stopping = False
         self.datagrams: Datagrams | None = None
         self.connection: Any = Connection
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -29,8 +29,8 @@
 EARLY = 0.8  # part of the time after which an upstream closes an idle connection, at which we do
 UP = 1 / 4  # part of the shortest due time within which a connection comes up, or is given up
 HELD = 1 / 64  # part of the shortest due time for which the last byte of exclusive work is held back
-RESTED = 1 / 48  # part of it for which a connection is listened to after an answer before the next request
-WARY = 8.0  # longest expiries for which that is done after a connection broke under a request just written
+RESTED = 1 / 48  # part of it within which a second answer may come behind the one that was waited for
+WARY = 8.0  # longest expiries for which one is wary: of breaks after a break, of second answers after one
 HOLD = 1 / 2  # part of the due time after which an answer that does not tell its length is passed on
 STALL = 5.0  # seconds without a byte after which an answer that is passed on counts as broken off
 COMING = 30.0  # seconds that a work item may take to come, as far as its upstream is told
@@ -136,7 +136,7 @@
 
 
 class Upstream(Actor):
-    """Gives errands to its connections: the one used last first, a new one when none is idle."""
+    """Gives errands to its connections: of those that have rested the one used last, else a new one."""
 
     lasting = True
 
@@ -192,15 +192,12 @@
                 errand.connection = connection
                 connection.post(Carry(errand))
                 return
-        while self.idle:
-            connection = self.idle.pop()
-            self.node.ledger.idle.pop(connection, None)
-            # Guards against a request written to a connection that the upstream has closed or soon will.
-            if connection.usable():
-                errand.connection = connection
-                connection.post(Carry(errand))
-                return
-            connection.post(CLOSE)
+        room = self.node.ledger.room_for_upstream()
+        # Guards against a second answer that comes late being taken for that of the next request.
+        if connection := self._rested() or (None if room else self._longest_idle()):
+            errand.connection = connection
+            connection.post(Carry(errand))
+            return
         if not self.node.ledger.room_for_upstream():
             longest_idle = self.node.ledger.longest_idle()
             if longest_idle is None:
@@ -213,6 +210,23 @@
             self.shared.append(errand.connection)
         errand.connection.begin()
 
+    def _rested(self) -> Connection | None:
+        """Of the idle connections on which no second answer is to be expected the one used last."""
+        since = self.node.loop.now() - RESTED * self.node.shortest
+        return self._first_usable([c for c in reversed(self.idle) if c.idle_since <= since])
+
+    def _longest_idle(self) -> Connection | None:
+        return self._first_usable(self.idle.copy())
+
+    def _first_usable(self, idle: list[Connection]) -> Connection | None:
+        for connection in idle:
+            self._no_longer_idle(connection)
+            # Guards against a request written to a connection that the upstream has closed or soon will.
+            if connection.usable():
+                return connection
+            connection.post(CLOSE)
+        return None
+
 
 class Connection(Actor):
     """One connection to an upstream, from its first errand to its end."""
@@ -305,9 +319,8 @@
         errand, stream = self.errand, self.stream
         if self.carried:
             yield from self._listen(errand)
-        if self.carried and not stream.silent():
             # Guards against what came behind the last answer being taken for the next one.
-            raise Lost("unasked-bytes")
+            self._nothing_came()
         if moved(self.entry, self.node):
             raise Lost("moved")
         if unwanted(errand, self.loop.now()):
@@ -328,7 +341,7 @@
         if stream.http.our_state is h11.DONE and stream.http.their_state is h11.DONE:
             stream.http.start_next_cycle()
             if stream.http.trailing_data[0]:
-                self.reason = "unasked-bytes"
+                self.reason = self._unasked()
         else:
             self.reason = "upstream-closes"
         fate = fate_of(response.status_code, headers)
@@ -342,15 +355,28 @@
         return fate, report, None
 
     def _listen(self, errand: Errand) -> Coroutine[None]:
-        """Guards against a second answer to the last request, that comes late, being taken for this one's."""
-        until = self.idle_since + RESTED * self.node.shortest
+        """Guards against a second answer to the last request, that comes late, being taken for this one's.
+
+        Only while such come: a connection that has not rested is used where there is no room for another.
+        """
+        until = min(self.idle_since + RESTED * self.node.shortest, self.node.unasked_until)
         while self.loop.now() < until:
             mail = yield until
-            if isinstance(mail, Ready) and not self.stream.silent():
-                raise Lost("unasked-bytes")
+            if isinstance(mail, Ready):
+                self._nothing_came()
             if isinstance(mail, Drop) and mail.errand is errand:
                 raise Lost("dropped")
 
+    def _nothing_came(self) -> None:
+        """Raises `Lost` if something has come that nobody waits for, be it the end."""
+        if not self.stream.silent():
+            raise Lost("upstream-closed" if self.stream.ended() else self._unasked())
+
+    def _unasked(self) -> str:
+        """Bytes came that nobody had asked for: it may happen again, here or at another upstream."""
+        self.node.unasked_until = self.loop.now() + WARY * self.node.longest
+        return "unasked-bytes"
+
     def _pass_request(self, errand: Errand, flow: Flow) -> Coroutine[None]:
         """Write a body while it comes; what ends it is left to be written."""
         flow.sink = self
@@ -535,12 +561,12 @@
             if isinstance(mail, Carry):
                 self.errand = mail.errand
                 return
+            if mail is CLOSE or isinstance(mail, Ready):
+                self._nothing_came()
             if mail is CLOSE:
                 raise Lost("not-needed")
             if mail is None:
                 raise Lost("idle")
-            if isinstance(mail, Ready) and not self.stream.silent():
-                raise Lost("upstream-closed")
 
     def _settle(self, fate: Fate, report: dict[str, float], answer: Answer | None) -> None:
         if self.errand is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -28,6 +28,7 @@
 )
 from starlingwheel.net.lifecycle.config import configured
 from starlingwheel.net.lifecycle.start import Node
+from starlingwheel.net.wire import upstream as wire
 
 LOOK = Category("look", Effect.RERUNNABLE, due_time=1.0, payoff=1.0, expiry=3.0)
 BUY = Category("buy", Effect.EXCLUSIVE, due_time=1.0, payoff=8.0, expiry=3.0)
@@ -350,6 +351,12 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         sock.close()
 
+    def rested(self):
+        """Turn until the connections to upstreams are idle and no second answer is expected on them."""
+        rest = wire.RESTED * self.node.shortest
+        idle = self.node.ledger.idle
+        self.until(lambda: idle and all(c.idle_since + rest <= self.node.loop.now() for c in idle))
+
     def all_go_to(self, i, times):
         """So many requests, each from a new client and on a new connection, reach this upstream."""
         for _ in range(times):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -18,9 +18,10 @@
 from conftest import SETTINGS, address, bound, categories
 
 from starlingwheel.net.lifecycle import stop
-from starlingwheel.net.loop import HANGUP, WRITE, ready
+from starlingwheel.net.loop import HANGUP, READ, WRITE, ready
 from starlingwheel.net.mail import CLOSE, STOP
 from starlingwheel.net.wire import discovery
+from starlingwheel.net.wire import upstream as wire
 from starlingwheel.net.wire.client import AT_ONCE
 
 NO_CANCEL = {"caps": SETTINGS["caps"] | {"cancel": False}}
@@ -194,12 +195,72 @@
         assert not peer.asked
 
 
-def test_a_second_answer_that_comes_late_is_not_taken_for_that_of_the_next_request(around, monkeypatch):
-    monkeypatch.setattr("starlingwheel.net.wire.upstream.RESTED", 60.0)
+@pytest.fixture
+def answered(make_surroundings, monkeypatch):
+    """A client, and a connection to an upstream that has just answered; it has to rest for a minute."""
+    around = make_surroundings(settings={"caps": SETTINGS["caps"] | {"keepalive": 600_000_000}})
+    monkeypatch.setattr(wire, "RESTED", 60.0)
     client = around.client()
     client.sendall(around.request())
-    upstream = around.serve(body=b"one")
+    first = around.serve(body=b"one")
     assert around.answer(client)[1] == b"one"
+    around.until(around.node.ledger.longest_idle)
+    return around, client, first
+
+
+def test_a_second_answer_that_comes_late_is_not_taken_for_that_of_the_next_request(answered):
+    around, client, first = answered
+    client.sendall(around.request(x_trace_id="t2"))
+    second = around.accept()
+    around.received(second)
+    around.reply(first, body=b"one")
+    around.until(lambda: around.logged("upstream.end"))
+    assert around.logged("upstream.end")[0]["reason"] == "unasked-bytes"
+    around.reply(second, body=b"two")
+    assert around.answer(client)[1] == b"two"
+
+
+def test_a_request_does_not_wait_for_a_connection_that_has_just_answered(answered):
+    around, client, first = answered
+    for more in (2, 3):
+        client.sendall(around.request(x_trace_id=f"t{more}"))
+        around.serve()
+        assert around.status(client) == 200
+        around.until(lambda: len(around.node.ledger.idle) == more)  # noqa: B023
+    nothing_comes(around, first)
+
+
+def test_of_idle_connections_one_that_has_rested_is_used_and_of_these_the_last(answered):
+    around, client, first = answered
+    client.sendall(around.request(x_trace_id="t2"))
+    second = around.serve()
+    assert around.status(client) == 200
+    client.sendall(around.request(x_trace_id="t3"))
+    third = around.serve()
+    assert around.status(client) == 200
+    around.until(lambda: len(around.node.ledger.idle) == 3)
+    for connection, before in zip(around.node.ledger.idle, (121.0, 120.5, 0.0), strict=True):
+        connection.idle_since -= before
+    client.sendall(around.request(x_trace_id="t4"))
+    around.received(second)
+    around.reply(second)
+    assert around.status(client) == 200
+    nothing_comes(around, first, 0.01)
+    nothing_comes(around, third, 0.01)
+
+
+def test_where_there_is_no_room_for_another_the_connection_is_used_at_once(answered):
+    around, client, first = answered
+    around.node.ledger.share = 1
+    client.sendall(around.request(x_trace_id="t2"))
+    around.received(first)
+    around.reply(first, body=b"two")
+    assert around.answer(client)[1] == b"two"
+
+
+def test_while_second_answers_come_a_connection_without_room_for_another_rests_first(answered):
+    around, client, upstream = answered
+    around.node.ledger.share, around.node.unasked_until = 1, float("inf")
     client.sendall(around.request(x_trace_id="t2"))
     job = around.until(lambda: next((j for j in around.node.module.jobs.values() if j.errands), None))
     errand = next(iter(job.errands.values()))
@@ -211,6 +272,38 @@
     nothing_comes(around, upstream)
 
 
+@pytest.mark.parametrize("comes", ["at rest", "behind its answer", "as it is to be used"])
+def test_a_second_answer_makes_wary(around, comes):
+    client = around.ask()
+    first = around.accept()
+    around.received(first)
+    around.reply(first)
+    if comes == "behind its answer":
+        around.reply(first)
+    assert around.status(client) == 200
+    if comes != "behind its answer":
+        around.rested()
+        connection = around.node.ledger.longest_idle()
+        with held(around, connection, READ) if comes == "as it is to be used" else contextlib.nullcontext():
+            around.reply(first)
+            other = around.ask(x_trace_id="t2")
+            around.serve()
+            assert around.status(other) == 200
+    around.until(lambda: around.logged("upstream.end"))
+    assert around.logged("upstream.end")[0]["reason"] == "unasked-bytes"
+    assert around.node.unasked_until > around.node.loop.now() + around.node.longest
+
+
+def test_the_end_of_an_idle_connection_is_no_second_answer(around):
+    client = around.ask()
+    first = around.serve()
+    assert around.status(client) == 200
+    around.until(around.node.ledger.longest_idle)
+    first.close()
+    assert around.until(lambda: around.logged("upstream.end"))[0]["reason"] == "upstream-closed"
+    assert around.node.unasked_until < around.node.loop.now()
+
+
 # A hand-off that waited: for an upstream that goes, or past its time.
 
 
@@ -396,6 +489,7 @@
     client.sendall(around.request())
     upstream = around.serve()
     assert around.status(client) == 200
+    around.rested()
     connection = next(iter(around.node.ledger.idle))
     mailed = []
     post = connection.post
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -81,6 +81,7 @@
     upstream.sendall(body[1000:])
     assert got + read_all(around, client, len(body) - len(got)) == body
     # The connection goes on.
+    around.rested()
     client.sendall(around.request())
     around.received(upstream)
     around.reply(upstream)
@@ -203,6 +204,7 @@
     around.until(some, 60.0)
     assert got.endswith(body[-1000:]) and len(got.partition(b"\r\n\r\n")[2]) == LONGEST == len(body)
     empty(around)
+    around.rested()
     other = around.ask(x_trace_id="t2")
     around.received(upstream)
     upstream.sendall(HEAD + b"Content-Length: %d\r\n\r\nx" % (LONGEST + 1))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -36,6 +36,7 @@
         around.received(upstream)
         around.reply(upstream)
         assert around.status(client) == 200
+        around.rested()
         client.sendall(around.request())
     around.quiet()
 
@@ -116,8 +117,9 @@
 def test_a_second_request_behind_the_first_waits_its_turn(around):
     client = around.client()
     client.sendall(around.request(x_trace_id="first") + around.request(x_trace_id="second"))
-    upstream = around.accept()
     for trace in (b"first", b"second"):
+        upstream = around.accept()
+        around.quiet()
         request, _ = around.received(upstream)
         assert dict(request.headers)[b"x-trace-id"] == trace
         around.reply(upstream, body=trace)
@@ -185,7 +187,7 @@
     around.reply(upstream, body=b"first")
     assert around.answer(client)[1] == b"first"
     monkeypatch.setattr(Connection, "usable", lambda _: True)  # it comes after that look
-    around.until(around.node.ledger.longest_idle)
+    around.rested()
     around.reply(upstream, body=b"copy")
     client.sendall(around.request("buy", b"two"))
     around.serve(body=b"second")
@@ -236,6 +238,7 @@
     client.sendall(around.request("buy", b"one"))
     upstream = around.serve()
     assert around.status(client) == 200
+    around.rested()
     client.sendall(around.request("buy", b"two"))
     assert around.until(lambda: around.read(upstream)).endswith(b"tw")
     around.reset(upstream)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -245,6 +245,7 @@
     assert around.call("GET /_ready") == 200
     # What still comes is served, on new and on kept connections, and told to close.
     for client in (around.client(), kept):
+        around.rested()
         client.sendall(around.request())
         around.received(upstream)
         around.reply(upstream)
@@ -255,6 +256,7 @@
     assert around.call("PUT /_lameduck/off") == 200
     assert around.status(around.ask(lead="GET /ready HTTP/1.1")) == 200
     client = around.client()
+    around.rested()
     client.sendall(around.request())
     around.received(upstream)
     around.reply(upstream)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -97,6 +97,7 @@
         around.received(upstream)
         around.reply(upstream)
         assert around.status(client) == 200
+        around.rested()
     around.node.former = [(0.0, c) for _, c in around.node.former]  # three seconds later
     assert around.status(around.ask("look", x_trace_id="e")) == 404
     assert around.status(around.ask("buy", b"one", x_trace_id="f")) == 400
