A trial of what a sidecar adds to a call, by pairs with and without it

The same calls go straight to stand-in upstreams and through one sidecar, in random order, from eight clients with random pauses; 50, 90 and 99 in 100 of the difference by pairs, the sidecar's processor time a call and its open connections, a row for each rate: `python -m trials added` (`--rates`, `--service`; `--root` names another checkout whose program is played).

--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from trials import hard, loss
+from trials import added, hard, loss
 from trials.rig import ROOT, Rig
 
 
@@ -52,6 +52,14 @@
     assert verdict.kept, verdict.broken
 
 
+def test_what_a_sidecar_adds_is_measured_by_pairs_of_calls(capsys):
+    verdict = asyncio.run(added.play(1, rates=(100.0,), count=5, service=0.001, seconds=added.FIRST + 1))
+    heads, row = capsys.readouterr().out.splitlines()
+    assert verdict.kept, verdict.broken
+    assert heads.split()[:3] == ["rate", "pairs", "failed"] and row.split()[0] == "100"
+    assert int(row.split()[1]) > 20 and int(row.split()[2]) == 0 and int(row.split()[-1]) > 0
+
+
 def test_links_with_nothing_at_stake_say_little():
     async def counted():
         async with Rig(1, sidecars=4, upstreams=3) as rig:
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from . import cost, hard, loss, policy, storm, zones
+from . import added, cost, hard, loss, policy, storm, zones
 from .rig import ROOT
 
 TRIALS = {
@@ -16,6 +16,7 @@
     "losses": storm.losses,
     "storm": storm.storm,
     "cost": cost.play,
+    "added": added.play,
     "policy": policy.changes,
     **hard.CASES,
     **policy.CASES,
@@ -31,10 +32,14 @@
     parser.add_argument("--root", type=Path, default=ROOT, help="another checkout whose program is played")
     parser.add_argument("--alone", action="store_true", help="without a fleet: each sidecar by itself")
     parser.add_argument("--sidecars", type=int, help="processes of the program")
+    parser.add_argument("--rates", help="of `added`: calls a second, separated by commas")
+    parser.add_argument("--service", type=float, help="of `added`: an upstream's time, seconds (default: 0)")
     given = parser.parse_args()
     kept = True
     for seed in range(given.seed, given.seed + given.seeds):
         more = {"sidecars": given.sidecars} if given.sidecars else {}
+        more |= {"rates": [float(rate) for rate in given.rates.split(",")]} if given.rates else {}
+        more |= {"service": given.service} if given.service is not None else {}
         trial = TRIALS[given.trial](seed, root=given.root, fleet=not given.alone, **more)
         try:
             verdict = asyncio.run(trial)
--- /dev/null
+++ b/trials/added.py
@@ -0,0 +1,325 @@
+"""What a sidecar adds to a call: the same calls with and without it, by pairs, and its processor time.
+
+Stand-in upstreams in one process, a sidecar in another, and here eight clients with short random pauses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import heapq
+import json
+import os
+import random
+import re
+import select
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import zlib
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from standins.listing import Listing
+
+from .rig import CAPS, CATEGORIES, MEMORY, ROOT, START, _die_with_parent, free_port
+from .verdict import Verdict
+
+CLIENTS = 8
+RATES = (50.0, 100.0, 200.0, 400.0)  # pairs of calls a second
+SECONDS = 8.0  # at each rate
+FIRST = 1.5  # of these, in which connections are made: not counted
+HOST = "127.0.1.1"
+ENDING = b"\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nfine"
+LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
+TRACE = re.compile(rb"x-trace-id: *(\S+)", re.IGNORECASE)
+HEADS = "rate", "pairs", "failed", "direct 50", "90", "99", "added 50", "90", "99", "cpu ms", "connections"
+
+
+# The stand-in upstreams: one process, no framework, so that what they add is small and the same for both.
+
+
+def spent(request: bytes, service: float) -> float:
+    """Time that a request takes, seconds: by its trace id, so that both calls of a pair take the same."""
+    if not service:
+        return 0.0
+    name = TRACE.search(request)
+    chance = random.Random(zlib.crc32(name.group(1).rstrip(b"+") if name else b""))
+    return service * chance.lognormvariate(0, 0.4)
+
+
+def upstreams(count: int, service: float) -> None:
+    """Serve GET requests at so many ports of loopback; the first line out is their addresses."""
+    listeners = {}
+    for _ in range(count):
+        listener = socket.create_server((HOST, 0), backlog=512)
+        listener.setblocking(False)
+        listeners[listener.fileno()] = listener
+    print(json.dumps(["{}:{}".format(*one.getsockname()) for one in listeners.values()]), flush=True)
+    open_: dict[int, socket.socket] = {}
+    got: dict[int, bytes] = {}
+    due: list[tuple[float, int]] = []
+    while True:
+        wait = max(0.0, due[0][0] - time.monotonic()) if due else None
+        # Microseconds count: what epoll waits is rounded up to milliseconds.
+        for fd in select.select([*listeners, *open_], [], [], wait)[0]:
+            if fd in listeners:
+                with contextlib.suppress(OSError):
+                    sock = listeners[fd].accept()[0]
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    open_[sock.fileno()] = sock
+                continue
+            data = b""
+            with contextlib.suppress(OSError):
+                data = open_[fd].recv(65536)
+            if not data:
+                open_.pop(fd).close()
+                got.pop(fd, None)
+                due = [(at, one) for at, one in due if one != fd]
+                heapq.heapify(due)
+                continue
+            got[fd] = got.get(fd, b"") + data
+            if got[fd].endswith(ENDING):
+                heapq.heappush(due, (time.monotonic() + spent(got.pop(fd), service), fd))
+        while due and due[0][0] <= time.monotonic():
+            with contextlib.suppress(OSError):
+                open_[heapq.heappop(due)[1]].sendall(ANSWER)
+
+
+# The clients.
+
+
+class Kept:
+    """One connection that is kept, and calls over it."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.sock: socket.socket | None = None
+
+    def connect(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self.sock = socket.create_connection((host, int(port)), timeout=5.0)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def call(self, trace: str) -> float | None:
+        """Seconds until the whole answer was there, without those to connect; None: it failed."""
+        lines = ["GET /look/1 HTTP/1.1", "Host: a", f"X-Trace-Id: {trace}"]
+        lines += ["X-Qos: look", "X-Expires-In-Ms: 2000"]
+        text = "\r\n".join([*lines, "", ""])
+        try:
+            if self.sock is None:
+                self.connect()
+            begun = time.perf_counter()
+            self.sock.sendall(text.encode())
+            answer = b""
+            while ENDING not in answer:
+                answer += self._more()
+            head, _, body = answer.partition(ENDING)
+            length = LENGTH.search(head)
+            while length and len(body) < int(length.group(1)):
+                body += self._more()
+            took = time.perf_counter() - begun
+            if b"connection: close" in head.lower():
+                self.close()
+            return took if b" 200 " in head[:13] else None
+        except OSError:
+            self.close()
+            return None
+
+    def _more(self) -> bytes:
+        data = self.sock.recv(65536)
+        if not data:
+            raise ConnectionError
+        return data
+
+    def close(self) -> None:
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+
+def client(
+    name: str, sidecar: str, direct: list[str], rate: float, until: float, since: float, pairs: list[Any]
+) -> None:
+    """Pairs of calls at random times until `until`, in random order; noted from `since` on."""
+    chance = random.Random(name)
+    through, to = Kept(sidecar), [Kept(address) for address in direct]
+    at, number = time.monotonic() + chance.expovariate(rate), 0
+    while at < until:
+        time.sleep(max(0.0, at - time.monotonic()))
+        one = chance.choice(to)
+        trace, number = f"{name}-{number}", number + 1
+        noted, took = time.monotonic() >= since, {}
+        # The last sign of the direct one is not counted for the time that it takes.
+        calls = [(through, trace), (one, trace + "+")]
+        for kept, its in chance.sample(calls, 2):
+            if kept.sock is None:
+                with contextlib.suppress(OSError):
+                    kept.connect()
+            took[kept is through] = kept.call(its)
+        if noted:
+            pairs.append((took[False], took[True]))
+        at += chance.expovariate(rate)
+    for kept in (through, *to):
+        kept.close()
+
+
+# The trial.
+
+
+def used(process: subprocess.Popen[bytes]) -> float:
+    """Processor time of a process so far, seconds."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def quantiles(values: Sequence[float]) -> list[float]:
+    """50, 90 and 99 in 100, milliseconds."""
+    ordered = sorted(values) or [0.0]
+    return [1000 * ordered[min(len(ordered) - 1, len(ordered) * part // 100)] for part in (50, 90, 99)]
+
+
+def begun(command: list[str], **more: Any) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, "-B", *command], stdin=subprocess.DEVNULL, preexec_fn=_die_with_parent, **more
+    )
+
+
+async def ready(address: str, log: Path) -> None:
+    until = time.monotonic() + START
+    while time.monotonic() < until:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*address.split(":"))
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            answer = await reader.read()
+            writer.close()
+            if b" 200 " in answer[:13]:
+                return
+        await asyncio.sleep(0.05)
+    raise RuntimeError(f"the sidecar is not ready: {log.read_text()[-2000:]}")
+
+
+async def measured(
+    seed: int, rate: float, seconds: float, sidecar: subprocess.Popen[bytes], address: str, direct: list[str]
+) -> tuple[list[Any], float]:
+    """The pairs at one rate, and the sidecar's processor time for each of its calls, seconds."""
+    pairs: list[Any] = []
+    now = time.monotonic()
+    threads = [
+        threading.Thread(
+            target=client,
+            args=(
+                f"{seed}-{rate}-{number}", address, direct, rate / CLIENTS, now + seconds, now + FIRST, pairs,
+            ),
+            daemon=True,
+        )
+        for number in range(CLIENTS)
+    ]  # fmt: skip
+    for thread in threads:
+        thread.start()
+    await asyncio.sleep(max(0.0, now + FIRST - time.monotonic()))
+    before, counted = used(sidecar), len(pairs)
+    await asyncio.sleep(max(0.0, now + seconds - time.monotonic()))
+    cost = (used(sidecar) - before) / max(1, len(pairs) - counted)
+    for thread in threads:
+        await asyncio.to_thread(thread.join)
+    return pairs, cost
+
+
+def open_to(process: subprocess.Popen[bytes], addresses: list[str]) -> int:
+    """Connections of a process to upstreams that are up."""
+    ports = {int(a.rpartition(":")[2]) for a in addresses}
+    inodes = set()
+    for entry in Path(f"/proc/{process.pid}/fd").iterdir():
+        with contextlib.suppress(OSError):
+            inodes.add(os.readlink(entry))
+    lines = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    ours = [line for line in lines if f"socket:[{line[9]}]" in inodes and line[3] == "01"]
+    return sum(int(line[2].rpartition(":")[2], 16) in ports for line in ours)
+
+
+async def play(
+    seed: int,
+    sidecars: int = 1,
+    root: Path = ROOT,
+    fleet: bool = False,
+    rates: Sequence[float] = RATES,
+    count: int = 50,
+    service: float = 0.0,
+    seconds: float = SECONDS,
+    command: Sequence[str] = ("-m", "starlingwheel"),
+) -> Verdict:
+    """A row for each rate; milliseconds, also of the sidecar's processor time for each of its calls.
+
+    A broken promise: more than one pair in a hundred has no answer.
+
+    `service`: time that an upstream takes, seconds on the mean; 0: it answers at once. `command`: another way
+    to start the program, as under a profiler. One sidecar is played, whatever `sidecars` and `fleet` say.
+    """
+    verdict = Verdict()
+    with tempfile.TemporaryDirectory(prefix="added-", dir=MEMORY) as kept:
+        folder = Path(kept)
+        serving = begun(["-m", "trials.added", str(count), str(service)], cwd=ROOT, stdout=subprocess.PIPE)
+        sidecar = None
+        listing = Listing(lambda: servers)
+        try:
+            direct = json.loads(await asyncio.to_thread(serving.stdout.readline))
+            servers = [
+                {"id": f"u{i}", "addr": address, "zone": "here", "state": "active"}
+                for i, address in enumerate(direct)
+            ]
+            await listing.server.begin()
+            address = f"{HOST}:{free_port(HOST)}"
+            told = {
+                "name": "added",
+                "listen": address,
+                "discovery": listing.server.address,
+                "limits": {"memory_mb": 192},
+                "seed": str(seed),
+                "known": {"version": 0, "full": True, "servers": servers},
+                "settings": {
+                    "categories": CATEGORIES, "caps": CAPS, "rules": {"mustAskIn": 8_000_000},
+                    "discovery": "ask", "locality": "here", "replicasOfMe": 1, "slotNo": 0,
+                },
+            }  # fmt: skip
+            (folder / "config.json").write_text(json.dumps(told))
+            with (folder / "log").open("ab") as log:
+                environment = os.environ | {"EDGE_CONFIG": str(folder / "config.json")}
+                sidecar = begun(list(command), cwd=root, stdout=log, stderr=log, env=environment)
+            await ready(address, folder / "log")
+            print("  ".join(f"{name:>9}" for name in HEADS))
+            for rate in rates:
+                pairs, cost = await measured(seed, rate, seconds, sidecar, address, direct)
+                whole = [(one, other) for one, other in pairs if one is not None and other is not None]
+                failed = len(pairs) - len(whole)
+                if not whole or failed > len(pairs) / 100:
+                    verdict.broken.append(f"at {rate:.0f} a second {failed} of {len(pairs)} pairs failed")
+                alone = quantiles([one for one, _ in whole])
+                added = quantiles([other - one for one, other in whole])
+                row = [*alone, *added, cost * 1000]
+                counts = [f"{rate:.0f}", str(len(pairs)), str(failed)]
+                figures = [*counts, *(f"{v:.2f}" for v in row), str(open_to(sidecar, direct))]
+                widths = [max(9, len(name)) for name in HEADS]
+                print("  ".join(f"{text:>{w}}" for text, w in zip(figures, widths, strict=True)), flush=True)
+                for name, value in zip(("50", "90", "99"), added, strict=True):
+                    verdict.counts[f"{rate:.0f} a second, added {name} in 100, us"] = round(value * 1000)
+                verdict.counts[f"{rate:.0f} a second, processor time a call, us"] = round(cost * 1e6)
+        finally:
+            for process in (sidecar, serving):
+                if process is not None:
+                    process.terminate()
+                    with contextlib.suppress(subprocess.TimeoutExpired):
+                        await asyncio.to_thread(process.wait, 5.0)
+                    process.kill()
+                    process.wait()
+            await listing.server.stop()
+    return verdict
+
+
+if __name__ == "__main__":
+    upstreams(int(sys.argv[1]), float(sys.argv[2]))
