--- a/trials/added.py
+++ b/trials/added.py
@@ -25,15 +25,15 @@
 from typing import Any
 
 from standins.listing import Listing
+from standins.loopback import free_address, own_host
 
-from .rig import CAPS, CATEGORIES, MEMORY, ROOT, START, _die_with_parent, free_port
+from .rig import CAPS, CATEGORIES, MEMORY, ROOT, START, _die_with_parent
 from .verdict import Verdict
 
 CLIENTS = 8
 RATES = (50.0, 100.0, 200.0, 400.0)  # pairs of calls a second
 SECONDS = 8.0  # at each rate
 FIRST = 1.5  # of these, in which connections are made: not counted
-HOST = "127.0.1.1"
 ENDING = b"\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nfine"
 LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
@@ -57,7 +57,7 @@
     """Serve GET requests at so many ports of loopback; the first line out is their addresses."""
     listeners = {}
     for _ in range(count):
-        listener = socket.create_server((HOST, 0), backlog=512)
+        listener = socket.create_server((own_host(), 0), backlog=512)
         listener.setblocking(False)
         listeners[listener.fileno()] = listener
     print(json.dumps(["{}:{}".format(*one.getsockname()) for one in listeners.values()]), flush=True)
@@ -280,7 +280,7 @@
                 for i, address in enumerate(direct)
             ]
             await listing.server.begin()
-            address = f"{HOST}:{free_port(HOST)}"
+            address = free_address()
             told = {
                 "name": "added",
                 "listen": address,
