After a question a connection is used at once, unless second answers come

Change: a connection whose last errand was a question counts as rested, while no second answers come (Connection.rested). Tests: a story for both cases; it fails with upstream.py as it was (seen), and, wary, without that condition (seen).

--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -212,8 +212,7 @@
 
     def _rested(self) -> Connection | None:
         """Of the idle connections on which no second answer is to be expected the one used last."""
-        since = self.node.loop.now() - RESTED * self.node.shortest
-        return self._first_usable([c for c in reversed(self.idle) if c.idle_since <= since])
+        return self._first_usable([c for c in reversed(self.idle) if c.rested()])
 
     def _longest_idle(self) -> Connection | None:
         return self._first_usable(self.idle.copy())
@@ -239,6 +238,7 @@
         self.reason = ""
         self.carried = 0
         self.idle_since = self.written_at = 0.0
+        self.asked = False  # its last errand was a question
         self.entry = upstream.entry  # as it was when this connection was begun
         node.ledger.upstream[self] = None
         node.ledger.note()
@@ -248,6 +248,16 @@
         fresh = self.loop.now() < self.idle_since + EARLY * self.node.terms.keep_idle
         return fresh and not self.ended and self.stream.silent()
 
+    def rested(self) -> bool:
+        """No second answer is to be expected on it any more.
+
+        After a question only while such come: its upstream is often handed the work item at once, and a new
+        connection for each costs upstreams work.
+        """
+        now = self.loop.now()
+        quiet = self.asked and now >= self.node.unasked_until
+        return quiet or now >= self.idle_since + RESTED * self.node.shortest
+
     def run(self) -> Coroutine[None]:
         try:
             yield from self._connect()
@@ -345,6 +355,7 @@
         else:
             self.reason = "upstream-closes"
         fate = fate_of(response.status_code, headers)
+        self.asked = errand.job is None
         self.carried += 1
         if self.errand is None:
             return fate, report, None  # it has been passed on
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -272,6 +272,26 @@
     nothing_comes(around, upstream)
 
 
+@pytest.mark.parametrize("wary", [False, True])
+def test_after_a_question_a_work_item_goes_the_same_way_at_once_unless_second_answers_come(
+    make_surroundings, monkeypatch, wary
+):
+    monkeypatch.setattr(wire, "RESTED", 60.0)
+    caps = SETTINGS["caps"] | {"peers": False}
+    around = make_surroundings(settings={"caps": caps, "categories": categories(4000000)})
+    if wary:
+        around.node.unasked_until = float("inf")
+    client = around.ask("buy", b"one")
+    asked = around.accept()
+    assert around.received(asked)[0].target == b"/health"
+    around.reply(asked)
+    carries = around.accept() if wary else asked
+    assert around.received(carries)[1] == b"one"
+    around.reply(carries)
+    assert around.status(client) == 200
+    nothing_comes(around, asked)
+
+
 @pytest.mark.parametrize("comes", ["at rest", "behind its answer", "as it is to be used"])
 def test_a_second_answer_makes_wary(around, comes):
     client = around.ask()
