Cells: the view cut into cells, their record, frames and the door, as an interface

A view of 1,600 members found a name's home by hashing with each. View takes the count of cells; home and keepers are ranked in the cell of the key alone. Records read the key 'cells' (one that can't be read leaves what was known; Records.view() is empty where nothing is). Hello.cells, Beat.idle, Cover.home, Intend.home; frames' version 2. Door.reach, Covering.unreached, needs and digest are there, not used yet.

--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -122,6 +122,12 @@
     def say(self, member: str, frame: Frame) -> bool:
         """False: there is no link to it now."""
 
+    def reach(self, member: str) -> bool:
+        """Have a link to a member of another cell come up; `Covering.up` or `Covering.unreached` follows.
+
+        False: none can, now.
+        """
+
     def go(self, item: Item, number: int) -> None:
         """That hand-off may be written whole."""
 
@@ -211,6 +217,18 @@
             elif (item.state is State.KEEPING and item.owner == member) or item.at_home == member:
                 self._place(item)
 
+    def unreached(self, member: str) -> None:
+        """What `Door.reach` was asked for has failed."""
+
+    def needs(self, member: str) -> bool:
+        """Something in hand concerns it: the link to it must stay."""
+        return False
+
+    @property
+    def digest(self) -> int:
+        """Of our cell in the view that holds: what `Beat.view` says."""
+        return self.view.digest_of(self.view.cell_of(self.me))
+
     def heard(self, member: str, frame: Frame) -> None:
         """A frame that a member has sent, of bounded size and of a known type."""
         match frame:
--- a/starlingwheel/fleet/frames.py
+++ b/starlingwheel/fleet/frames.py
@@ -12,7 +12,7 @@
 from ..decisions.terms import Category
 from .policy import Word
 
-VERSION = 1
+VERSION = 2
 LONGEST = 1 << 18  # bytes of one frame: a body and an answer are 64 KiB at most
 
 
@@ -46,21 +46,28 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    """`cells`: how many its view has; two that differ have no link."""
+
     fleet: str
     version: int
     member: str
+    cells: int = 1
 
 
 class Beat(msgspec.Struct, array_like=True, tag=2, frozen=True):
-    """Said when nothing else is: alive, under that view; `lapsed`: not sure of its lease."""
+    """Said when nothing else is: alive, under that view of its cell; `lapsed`: not sure of its lease.
+
+    `idle`: nothing in hand here needs this link.
+    """
 
     view: int
     lapsed: bool
     word: Word | None = None
+    idle: bool = False
 
 
 class Told(msgspec.Struct, array_like=True, tag=3, frozen=True):
-    """All that concerns you under that view has been said; nothing more is granted under an older one."""
+    """All that concerns you under that view of your cell has been said; nothing is granted under an older."""
 
     view: int
 
@@ -70,6 +77,7 @@
 
     `granted`: its owner has been told before that it is new, perhaps by a home that is lost. `rules`: its
     category as it was when the work item was taken, which it keeps whatever the fleet's policy becomes.
+    `home`: as its owner sees it, where the owner is of another cell.
     """
 
     key: bytes
@@ -86,6 +94,7 @@
     intents: list[Intent]
     granted: bool = False
     rules: Category | None = None
+    home: str = ""
 
 
 class Find(msgspec.Struct, array_like=True, tag=5, frozen=True):
@@ -96,10 +105,13 @@
 
 
 class Intend(msgspec.Struct, array_like=True, tag=6, frozen=True):
+    """`home`: as with `Cover`."""
+
     key: bytes
     epoch: int
     number: int
     intent: Intent
+    home: str = ""
 
 
 class Ended(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/starlingwheel/fleet/part.py
+++ b/starlingwheel/fleet/part.py
@@ -13,6 +13,7 @@
 HEADER = re.compile(r"[a-z0-9-]+")
 LEASE = (1, 60)  # whole seconds: an arbiter keeps no finer ones
 KEEPERS = (1, 3)
+CELL_SIZE = (0, 512)
 
 
 class CoverPart(msgspec.Struct, frozen=True):
@@ -31,7 +32,8 @@
 class FleetPart(msgspec.Struct, frozen=True):
     """`name`: which fleet. `listen`: for links. `advertise`: where others reach that, if elsewhere.
 
-    `keep`: the folder that outlives the process, for the policy in force; empty: none.
+    `keep`: the folder that outlives the process, for the policy in force; empty: none. `cell_size`: members
+    that a cell has on the mean, at most; 0: the fleet is one cell, as far as this sidecar has a say.
     """
 
     name: str
@@ -42,10 +44,11 @@
     advertise: str = ""
     lease_s: int = 3
     keep: str = ""
+    cell_size: int = 0
 
 
 KEYS = {
-    "": {"name", "listen", "arbiter", "advertise", "lease_s", "keep", "cover", "zones"},
+    "": {"name", "listen", "arbiter", "advertise", "lease_s", "keep", "cell_size", "cover", "zones"},
     "cover": {"categories", "name_header", "keepers"},
     "zones": {"regions", "bears"},
 }
@@ -76,6 +79,7 @@
         for place, address in enumerate(arbiter):
             yield from _address(address, f"fleet.arbiter[{place}]")
     yield from _whole(given.get("lease_s", 3), "fleet.lease_s", LEASE)
+    yield from _whole(given.get("cell_size", 0), "fleet.cell_size", CELL_SIZE)
     keep = given.get("keep", "")
     if not isinstance(keep, str):
         yield f"fleet.keep: {keep!r} is no folder"
--- a/starlingwheel/fleet/records.py
+++ b/starlingwheel/fleet/records.py
@@ -7,11 +7,12 @@
 import msgspec
 
 from .common import Body
-from .view import Member
+from .view import MOST_CELLS, Member, View
 
 NOW, NEXT, VOTES, PAST_AT = "policy/now", "policy/next", "policy/votes/", "policy/past/"
 MEMBERS, NAMES = "members/", "names/"
 PLAN, SAID = "zones/plan", "zones/said/"
+CELLS = "cells"
 
 
 class Policy(msgspec.Struct, frozen=True):
@@ -96,6 +97,12 @@
     bears: dict[str, float] = {}  # hand-offs a second that a zone was seen to turn away at
 
 
+class Cut(msgspec.Struct, frozen=True):
+    """Into how many cells the fleet is cut: a power of two."""
+
+    count: int
+
+
 class Entry(msgspec.Struct, frozen=True):
     value: bytes
     create: int
@@ -132,8 +139,13 @@
 class Records:
     """What the arbiter has under the fleet's name, as of one revision."""
 
-    def __init__(self) -> None:
+    def __init__(self, cells: int = 0) -> None:
+        """`cells`: as in the records before, which stays where the entry can't be read; 0: not known."""
         self.revision = 0
+        self.cells_before = cells
+        self.cells = 1  # into how many the fleet is cut; 0: not known
+        self.cells_mod = 0
+        self.cells_spoilt = False  # nobody can read it
         self.members: dict[str, Member] = {}
         self.names: dict[str, int] = {}
         self.now: Decision | None = None
@@ -153,6 +165,10 @@
             setattr(other, name, dict(getattr(self, name)))
         return other
 
+    def view(self) -> View:
+        """Who is in. Empty while nobody here knows into how many cells the fleet is cut."""
+        return View(self.members.values(), self.cells) if self.cells else View()
+
     def put(self, key: str, entry: Entry) -> str:
         """Take over one entry; the reason if it can't be read."""
         try:
@@ -183,12 +199,23 @@
                 self.plan = msgspec.json.decode(entry.value, type=Plan)
             elif key.startswith(SAID):
                 self.said[key.removeprefix(SAID)] = msgspec.json.decode(entry.value, type=Said)
+            elif key == CELLS:
+                self._cut(entry)
         except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
             if key.startswith(MEMBERS):
                 self.members.pop(key.removeprefix(MEMBERS), None)
             return "unreadable"
         return ""
 
+    def _cut(self, entry: Entry) -> None:
+        # Guards against taking what can't be read for one cell: homes would be others than everybody else's.
+        self.cells = self.cells if self.revision else self.cells_before
+        self.cells_mod, self.cells_spoilt = entry.mod, True
+        count = msgspec.json.decode(entry.value, type=Cut).count
+        if not 1 <= count <= MOST_CELLS or count & (count - 1):
+            raise ValueError(f"{count} cells")
+        self.cells, self.cells_spoilt = count, False
+
     def erase(self, key: str) -> None:
         if key.startswith(MEMBERS):
             self.members.pop(key.removeprefix(MEMBERS), None)
@@ -205,3 +232,5 @@
             self.plan, self.plan_mod = None, 0
         elif key.startswith(SAID):
             self.said.pop(key.removeprefix(SAID), None)
+        elif key == CELLS:
+            self.cells, self.cells_mod, self.cells_spoilt = 1, 0, False
--- a/starlingwheel/fleet/view.py
+++ b/starlingwheel/fleet/view.py
@@ -1,16 +1,22 @@
-"""Who is in the fleet, and who keeps what: a view is the set of members that hold a lease.
+"""Who is in the fleet, and who keeps what: a view is the set of members that hold a lease, cut into cells.
 
 Its digest names it: an entry never comes back, so two views of one digest are the same set at the same time.
+
+A member is of one cell, by a hash of its name; a work name is of one, by a hash of its key. Whoever keeps a
+work item is of its name's cell: finding them is bounded, however large the fleet. With twice as many cells
+each is split in two, with half as many two are joined; a member that comes or goes moves no other one.
 """
 
 from __future__ import annotations
 
+import functools
 import hashlib
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Iterator
 
 import msgspec
 
 KNOWN = 4096  # names whose first two are kept
+MOST_CELLS = 4096
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -24,24 +30,100 @@
     term: int = 0
 
 
+def place(name: bytes) -> int:
+    """Where a name lies: with so many cells, in the one of that number modulo their count."""
+    return int.from_bytes(hashlib.blake2b(name, digest_size=8).digest(), "big")
+
+
+@functools.lru_cache(maxsize=1 << 14)
+def member_place(member: str) -> int:
+    """The same of a member's id: by its name, so that a restart comes back to its cell."""
+    name, _, _ = member.rpartition(".")
+    return place((name or member).encode())
+
+
+def digest(lines: Iterable[str]) -> int:
+    return int.from_bytes(hashlib.blake2b("\n".join(lines).encode(), digest_size=7).digest(), "big")
+
+
 class View:
-    def __init__(self, members: Iterable[Member] = ()) -> None:
+    def __init__(self, members: Iterable[Member] = (), cells: int = 1) -> None:
+        """`cells`: how many, a power of two."""
         self.members = {member.id: member for member in sorted(members, key=lambda m: m.id)}
-        text = "\n".join(f"{m.id} {m.term}" for m in self.members.values()).encode()
-        self.digest = int.from_bytes(hashlib.blake2b(text, digest_size=7).digest(), "big")
+        self.cells = cells
+        lines = [f"{m.id} {m.term}" for m in self.members.values()]
+        self.digest = digest(lines if cells == 1 else [*lines, f"cells {cells}"])
         self.best: dict[bytes, list[str]] = {}  # of the names asked for lately, the first two
+        # Those of each cell that has any, best known by their ids.
+        self.groups: dict[int, dict[str, Member]] = {0: self.members} if cells == 1 and self.members else {}
+        if cells > 1:
+            for member in self.members.values():
+                self.groups.setdefault(member_place(member.id) % cells, {})[member.id] = member
+        self.digests: dict[int, int] = {}
 
     def __contains__(self, member: str) -> bool:
         return member in self.members
 
+    # Cells.
+
+    def cell(self, key: bytes) -> int:
+        """The one whose members keep what has that name: its own, or the next that has members."""
+        return self._next(place(key) % self.cells) if self.cells > 1 else 0
+
+    def cell_of(self, member: str) -> int:
+        """The one that a member is of, also one that is not in the view."""
+        return member_place(member) % self.cells if self.cells > 1 else 0
+
+    def _next(self, cell: int) -> int:
+        while self.groups and cell not in self.groups:
+            cell = (cell + 1) % self.cells
+        return cell
+
+    def of_cell(self, cell: int) -> dict[str, Member]:
+        return self.groups.get(cell, {})
+
+    def span(self, cell: int) -> Iterator[int]:
+        """The cells whose names that one keeps: itself, and the empty ones before it."""
+        yield cell
+        before = (cell - 1) % self.cells
+        while before != cell and before not in self.groups:
+            yield before
+            before = (before - 1) % self.cells
+
+    def peers(self, me: str) -> list[str]:
+        """The others of our cell."""
+        return [member for member in self.of_cell(self.cell_of(me)) if member != me]
+
+    def digest_of(self, cell: int) -> int:
+        """Names the cell as this view has it: two that agree on it have one home for each of its names."""
+        if self.cells == 1:
+            return self.digest
+        known = self.digests.get(cell)
+        if known is None:
+            lines = [f"{m.id} {m.term}" for m in self.of_cell(cell).values()]
+            lines.append(f"cell {cell} of {self.cells}, with {sum(1 for _ in self.span(cell))}")
+            known = self.digests[cell] = digest(lines)
+        return known
+
+    def holders(self, cell: int, older: View) -> set[str]:
+        """Those who may know, by an older view, of what has a name that this cell keeps now."""
+        if self.cells == older.cells == 1:
+            return set(older.members)
+        fewer = min(self.cells, older.cells)
+        ours = {one % fewer for one in self.span(cell)}
+        then = (one + fewer * turn for one in ours for turn in range(older.cells // fewer))
+        return {member for one in {older._next(c) for c in then} for member in older.of_cell(one)}
+
+    # Homes and keepers.
+
     def ranks(self, key: bytes) -> list[Member]:
-        """All members, best first, by rendezvous hashing: one that goes moves only what was its own."""
+        """All members of its cell, best first, by rendezvous hashing: one that goes moves only its own."""
         mark = hashlib.blake2b(key, digest_size=8).digest()
 
         def turn(member: Member) -> bytes:
             return hashlib.blake2b(member.id.encode(), digest_size=8, key=mark).digest()
 
-        return sorted(self.members.values(), key=turn, reverse=True)
+        return sorted(self.of_cell(self.cell(key)).values(), key=turn, reverse=True)
 
     def home(self, key: bytes, but: str = "") -> str:
         """The one member that says whether a name is new; with `but`, the one if that is lost."""
@@ -58,10 +140,16 @@
 
         The home, or who would be it in the owner's place; as many more as `count` says; and one in another
         zone than the owner's, if there is one: guards against a zone taking work and record with it.
+        `reached` is asked of no more than that takes.
         """
-        others = [m for m in self.ranks(key) if m.id != owner and m.id in reached]
-        chosen = others[:count]
         zone = self.members[owner].zone if owner in self.members else None
-        if chosen and all(m.zone == zone for m in chosen):
-            chosen += [m for m in others if m.zone != zone][:1]
+        chosen: list[Member] = []
+        for member in self.ranks(key):
+            if member.id == owner:
+                continue
+            spare = len(chosen) >= count
+            if spare and not all(m.zone == zone for m in chosen):
+                break
+            if (not spare or member.zone != zone) and member.id in reached:
+                chosen.append(member)
         return [m.id for m in chosen]
