Links to the members of our own cell; to others while work needs them

Every member was linked to every other one. Links keeps those of View.peers; Reach opens another one on demand, Unreached tells that none came up within a greeting's time. Of two calls that cross, that of the smaller id stays. A link outside the cell that neither side needs ends with a last word, so that nobody takes it for a loss. A call is up once the other side has said more than its greeting. At rest a word on the policy is left out of beats, five words a second go over all links together, and a beat is answered at once.

--- a/starlingwheel/fleet/frames.py
+++ b/starlingwheel/fleet/frames.py
@@ -14,6 +14,7 @@
 
 VERSION = 2
 LONGEST = 1 << 18  # bytes of one frame: a body and an answer are 64 KiB at most
+RELAYED = 64  # words of others in one answer, at most
 
 
 class Asked(msgspec.Struct, array_like=True, frozen=True):
@@ -57,13 +58,14 @@
 class Beat(msgspec.Struct, array_like=True, tag=2, frozen=True):
     """Said when nothing else is: alive, under that view of its cell; `lapsed`: not sure of its lease.
 
-    `idle`: nothing in hand here needs this link.
+    `word`: only where it may be needed, as whoever `asks` says. `idle`: nothing in hand here needs this link.
     """
 
     view: int
     lapsed: bool
     word: Word | None = None
     idle: bool = False
+    asks: bool = False
 
 
 class Told(msgspec.Struct, array_like=True, tag=3, frozen=True):
@@ -161,7 +163,10 @@
 
 
 class Says(msgspec.Struct, array_like=True, tag=12, frozen=True):
+    """Our word, and what we have heard lately over our links: each as old as it says."""
+
     word: Word
+    others: list[Word] = []
 
 
 class Want(msgspec.Struct, array_like=True, tag=13, frozen=True):
@@ -174,6 +179,10 @@
     decision: bytes
 
 
+class Rest(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """The last word on a link that neither side needs: what is said to it from now on is not read."""
+
+
 # What `Kept.verdict` says.
 NEW = "new"  # nobody else acts on it: you do
 KEPT = "kept"  # recorded; who else acts is not known here
@@ -187,4 +196,4 @@
 NOTED = "noted"  # the final answer is recorded
 
 About = Cover | Find | Intend | Ended | Answered | Kept | Over
-Frame = Hello | Beat | Told | About | Which | Says | Want | Given
+Frame = Hello | Beat | Told | About | Which | Says | Want | Given | Rest
--- a/starlingwheel/fleet/policy.py
+++ b/starlingwheel/fleet/policy.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from math import inf
 from typing import Any, Protocol
 
@@ -42,7 +42,8 @@
 
 AHEAD = 3.0  # leases between a proposal and its switch time, unless told
 LEAST = 1.5  # leases between a vote and the switch time, at least
-WORD = 1.0  # leases for which the word of another member counts: less than that
+WORD = 1.0  # leases for which the word of another member counts, whoever passes it on: less than that
+RECOUNT = 1 / 64  # of a lease between counts of the words, where only more of them have come
 LATE = 8.0  # leases after which a start without the arbiter goes by what others say
 UNEASY = 1 / 3  # of a lease before its end, by when it is renewed as a rule
 TURN = 1 / 16  # of a lease: for so long each waits for the one before it to decide or drop
@@ -115,7 +116,9 @@
         self.sure = False  # what is decided is known: read since our entry, or said by more than half
         self.lease_until, self.entered = -inf, 0  # and the revision of our entry under it
         self.words: dict[str, Word] = {}
+        self.saying: dict[str, str] = {}  # of each name, the member whose word is known
         self.well_until: float | None = None  # for so long enough words count; None: to be counted
+        self.grown, self.counted_at = False, -inf  # words have come since, and can only have made it longer
         self.vote: tuple[int, str] | None = None  # of which proposal, and why not
         self.since: dict[tuple[str, int], float] = {}  # when each thing that anybody may do became due
         self.left_at = now  # when a member that had not said yes was last seen to go
@@ -160,7 +163,7 @@
         """When to call `doubt` again, whatever comes."""
         times = [self.decision.at] if self.decision else []
         times += [self.promise.at] if self.promise else []
-        times += [self._leased() - UNEASY * self.lease]
+        times += [self.uneasy_at()]
         return min((at for at in times if at > self.now), default=inf)
 
     def word(self) -> Word:
@@ -182,12 +185,16 @@
         self._switch()
 
     def heard(self, word: Word) -> None:
-        """The word of a member, or of one that will be."""
+        """The word of a member, or of one that will be, from itself or passed on by another."""
         before = self.words.get(word.member)
         if before is not None and before.at > word.at:
             return
         self.words[word.member] = word
-        self.well_until = None
+        lasts = -inf if before is None else self._lasts(before)
+        if self.saying.setdefault(word.name, word.member) == word.member and self._lasts(word) >= lasts:
+            self.grown = True
+        else:
+            self.well_until = None
         if word.known > self.known:
             self.door.ask(word.member)
         elif self.promise is not None and word.sure and self._dropped(self.promise, word):
@@ -210,7 +217,11 @@
     @property
     def uneasy(self) -> bool:
         """The words of others may be needed soon, or are."""
-        return self.now > self._leased() - UNEASY * self.lease or bool(self._doubt())
+        return self.now > self.uneasy_at() or bool(self._doubt())
+
+    def uneasy_at(self) -> float:
+        """When our lease is so near its end that the words of others may be needed."""
+        return self._leased() - UNEASY * self.lease
 
     def told(self, decision: Decision) -> None:
         """What a member knows to be decided."""
@@ -314,23 +325,38 @@
             return "the change before it has not taken hold yet"
         return self.door.check(policy.body)
 
+    def lately(self, members: Container[str], most: int) -> list[Word]:
+        """Words of these members that others may still count, the youngest first: to be passed on."""
+        old = self.now - WORD * self.lease
+        words = [word for word in self.words.values() if word.at > old and word.member in members]
+        return sorted(words, key=lambda word: -word.at)[:most]
+
     def _well(self) -> float:
         """Until when more than half of the registered names are known to follow the same policy."""
-        if self.well_until is None:
-            self.well_until = self._count()
-        return self.well_until
+        until = self.well_until
+        if until is not None and self.grown and self.now >= until:
+            # Guards against counting a large fleet anew for each word that comes.
+            until = None if self.now >= self.counted_at + RECOUNT * self.lease else until
+        if until is None:
+            until = self.well_until = self._count()
+            self.grown, self.counted_at = False, self.now
+        return until
+
+    def _lasts(self, word: Word) -> float:
+        """Until when that word counts. By its own time, however it has come here; -inf: not at all."""
+        same = (word.version, word.digest) == (self.in_force.version, self.in_force.digest) and word.sure
+        return min(word.at + WORD * self.lease, word.until) if same else -inf
 
     def _count(self) -> float:
         until: dict[str, float] = {}
         old = self.now - WORD * self.lease
         self.words = {member: word for member, word in self.words.items() if word.at > old}
+        self.saying = {word.name: member for member, word in self.words.items()}
         for word in self.words.values():
             if word.name not in self.names or word.name == self.name:
                 continue
-            same = (word.version, word.digest) == (self.in_force.version, self.in_force.digest) and word.sure
-            holds = min(word.at + WORD * self.lease, word.until) if same else -inf
             # Guards against two processes of one name, of which one knows more.
-            until[word.name] = min(holds, until.get(word.name, inf))
+            until[word.name] = min(self._lasts(word), until.get(word.name, inf))
         need = len(self.names) // 2 + 1 - (self.name in self.names)
         if not self.names:
             return -inf
--- a/starlingwheel/net/fleet/links.py
+++ b/starlingwheel/net/fleet/links.py
@@ -17,19 +17,24 @@
 
 import msgspec
 
-from ...fleet.frames import LONGEST, Beat, Frame, Given, Hello, Says, Which
+from ...fleet.frames import LONGEST, Beat, Frame, Given, Hello, Rest, Says, Which
 from ...fleet.view import Member, View
 from ..actor import Actor, Coroutine
 from ..loop import READ, WRITE, Loop, Ready
 from ..mail import CLOSE
 from ..wire.http import Lost, connect
-from .mail import WARY, Framed, LinkDown, LinkUp, Say, Strike, Viewed
+from .mail import PROBE, ROUSE, WARY, Framed, LinkDown, LinkUp, Reach, Say, Strike, Unreached, Viewed
 
 BEAT = 0.1  # seconds between words, on a link with something at stake, when there is nothing else to say
-IDLE = 1.0  # the same on any other link
-A_SECOND = 64  # such words a second over all links: guards against a standing cost that grows with the fleet
+IDLE = (1.0, 10.0)  # the same on any other link: with few links, and at most
+A_SECOND = 5  # such words a second over all links: guards against a standing cost that grows with the fleet
+ANSWER = (
+    IDLE[0] / 2
+)  # seconds of our own silence after which a beat is answered: one segment acknowledges it too
+REST = 1.0  # seconds without a word about work after which a link outside our cell ends, once both are idle
 WARY_EACH = 1 / 320  # seconds a link, where the words of others are needed: ten a second in a small fleet
 SILENCE = 3.0  # times those without a byte after which a link counts as lost
+ROUSED = 0.5  # seconds for which words that were asked for over all links are young enough to be passed on
 STAKE = 2.0  # seconds after a word about work for which something is at stake
 GREETING = 1.0  # seconds within which a link comes up and both have said who they are
 PAUSE = (0.02, 0.5)  # seconds before a link is tried again: the first, and where the doubling ends
@@ -37,6 +42,8 @@
 MOST = 64  # links that have not said yet whose they are
 CHUNK = 65536
 ENDED = ("reset", "closed")  # how links end whose member's process does
+GONE = ("refused", "unreachable")  # how calls end where nobody listens
+QUIET = ("refused", "never-came-up", "stranger", "asked", "crossed", "replaced")  # no lines of the log
 HEAD = 4  # bytes of a length
 
 encoder = msgspec.msgpack.Encoder()
@@ -76,7 +83,11 @@
 
 
 class Links(Actor):
-    """Listens, and keeps a link to each member of the view whose id is greater than ours."""
+    """Listens, and keeps a link to each member of our cell; to others while they are needed.
+
+    In the cell the member with the smaller id calls. Outside it either does, when there is work: of two calls
+    that cross, both keep the one of the member with the smaller id.
+    """
 
     lasting = True
 
@@ -86,22 +97,27 @@
         sock: socket.socket,
         me: Hello,
         tell: Callable[[Any], None],
-        beat: Callable[[], Beat],
+        beat: Callable[[str, bool], Beat],
         says: Callable[[Which], list[Frame]],
         log: Callable[..., None],
         chance: random.Random,
     ) -> None:
-        """`tell` takes mail for who decides; `beat` says what to say when there is nothing else.
+        """`tell` takes mail for who decides; `beat`: what to say to a member when there is nothing else.
 
-        `says`: what one is told that is in no view and asks which policy holds.
+        Its second argument: that member may need our word on the policy. `says`: what one is told that has
+        no link with us and asks which policy holds.
         """
         self.sock, self.me, self.tell, self.beat, self.log, self.chance = sock, me, tell, beat, log, chance
         self.says = says
         self.source = sock.getsockname()[0]
         self.view = View()
-        self.links: dict[str, Link] = {}  # those that have said whose they are
-        self.new: dict[Link, None] = {}  # those that have not
+        self.peers: frozenset[str] = frozenset()  # the others of our cell
+        self.links: dict[str, Link] = {}  # those that are up
+        self.new: dict[Link, None] = {}  # calls of others that have not said whose they are
+        self.calls: dict[str, Link] = {}  # calls of ours that are not up yet
+        self.wanted: dict[str, float] = {}  # outside links that are needed, and until when each may come up
         self.calling: dict[str, tuple[float, float]] = {}  # when to try each again, and the pause after that
+        self.roused_at = -inf
         self.reasons: Counter[str] = Counter()
         sock.setblocking(False)
         loop.watch(sock.fileno(), self, READ)
@@ -109,14 +125,51 @@
 
     def run(self) -> Coroutine[None]:
         while True:
-            mail = yield min((at for at, _ in self.calling.values()), default=None)
+            times = [at for at, _ in self.calling.values()]
+            mail = yield min([*times, *self.wanted.values()], default=None)
             if isinstance(mail, Ready):
                 self._accept()
             elif isinstance(mail, Viewed):
-                self.view = mail.view
-                wanted = {m for m in self.view.members if m > self.me.member} - set(self.links)
-                self.calling = {m: self.calling.get(m, (self.loop.now(), PAUSE[0])) for m in wanted}
+                self._viewed(mail.view)
+            elif isinstance(mail, Reach):
+                self._reach(mail.member)
             self._call()
+            for member in [m for m, until in self.wanted.items() if until <= self.loop.now()]:
+                self._unreached(member)
+
+    def _viewed(self, view: View) -> None:
+        self.view, self.peers = view, frozenset(view.peers(self.me.member))
+        for member in [member for member in self.wanted if member not in view]:
+            self._unreached(member)
+        now = self.loop.now()
+        calls = {m for m in {*self.peers, *self.wanted} if self._calls(m)}
+        self.calling = {m: self.calling.get(m, (now, PAUSE[0])) for m in calls - self.links.keys()}
+
+    def outside(self, member: str) -> bool:
+        """A member of another cell. Whoever is in no view is none: its link stays as long as it does."""
+        return member in self.view and member not in self.peers
+
+    def _calls(self, member: str) -> bool:
+        """Whether it is us who call."""
+        return member > self.me.member if member in self.peers else member in self.wanted
+
+    def _reach(self, member: str) -> None:
+        if member in self.links or member == self.me.member:
+            return
+        now = self.loop.now()
+        self.wanted.setdefault(member, now + GREETING)
+        if member not in self.view:
+            self._unreached(member)
+        elif self._calls(member):
+            self.calling.setdefault(member, (now, PAUSE[0]))
+
+    def _unreached(self, member: str) -> None:
+        del self.wanted[member]
+        if member not in self.peers:
+            self.calling.pop(member, None)
+            if (call := self.calls.get(member)) is not None:
+                call.post(CLOSE)
+        self.tell(Unreached(member))
 
     def _accept(self) -> None:
         with contextlib.suppress(BlockingIOError, OSError):
@@ -132,7 +185,7 @@
     def _call(self) -> None:
         now = self.loop.now()
         for member, (at, pause) in list(self.calling.items()):
-            if at > now:
+            if at > now or member in self.calls:
                 continue
             self.calling[member] = (now + GREETING + pause, min(2 * pause, PAUSE[1]))
             try:
@@ -147,8 +200,22 @@
         """How often something is said that all links say: seconds, at least so many a link."""
         return max(seconds, len(self.links) * link)
 
+    def idle(self) -> float:
+        """Seconds between words on a link with nothing at stake."""
+        return min(self.each(IDLE[0], 1 / A_SECOND), IDLE[1])
+
     # What links say.
 
+    def rouse(self) -> bool:
+        """Have all that we have links with say their words on the policy; False: they have, lately."""
+        now = self.loop.now()
+        if now < self.roused_at + ROUSED:
+            return False
+        self.roused_at = now
+        for link in self.links.values():
+            link.post(ROUSE)
+        return bool(self.links)
+
     def named(self, link: Link, hello: Hello) -> str:
         """Whose it is; raises `Refused` for whom we have no link with."""
         if hello.fleet != self.me.fleet:
@@ -157,37 +224,68 @@
             raise Refused("other-version")
         if link.member and hello.member != link.member:
             raise Refused("not-who-was-called")
-        if not link.member and not hello.member < self.me.member:
-            raise Refused("wrong-way")
+        # What we said may be older than our view: both sides judge by the same two words.
+        if not hello.cells == link.cells == self.view.cells:
+            raise Refused("other-cells")
         if hello.member not in self.view:
             # It may be in a view that we have not seen yet; it calls again.
             raise Refused("stranger")
+        if not link.called and hello.member > self.me.member:
+            self._answerable(hello.member)
         return hello.member
 
+    def _answerable(self, member: str) -> None:
+        """Raises `Refused` for the call of a member with a greater id that is not to be answered."""
+        if member in self.peers:
+            raise Refused("wrong-way")
+        if (link := self.links.get(member)) is not None:
+            # Guards against a link that has ended on its side alone: a word on it shows that.
+            link.post(PROBE)
+        if link is not None or member in self.calls:
+            # Guards against both ending their own call for the other's.
+            raise Refused("crossed")
+
     def up(self, link: Link) -> None:
-        before = self.links.get(link.member)
+        member = link.member
+        before = self.links.get(member)
         self.new.pop(link, None)
-        self.links[link.member] = link
-        self.calling.pop(link.member, None)
+        self.links[member] = link
+        self.calling.pop(member, None)
+        self.wanted.pop(member, None)
+        call = self.calls.pop(member, None)
+        if call is not None and call is not link:
+            call.post(CLOSE)
         if before is not None:
             before.post(CLOSE)
-            self.tell(LinkDown(link.member, before))
-        self.log("link.up", member=link.member)
-        self.tell(LinkUp(link.member, link))
+            self.tell(LinkDown(member, before))
+        if not self.outside(member):
+            self.log("link.up", member=member)
+        self.tell(LinkUp(member, link))
 
     def lost(self, link: Link | None, member: str, reason: str) -> None:
         self.reasons[reason] += 1
+        gone = reason in GONE
         if link is not None:
             self.new.pop(link, None)
+            # Whoever listens greets, also whom it refuses.
+            gone = gone or (link.called and not link.greeted and reason in ENDED)
+            if self.calls.get(member) is link:
+                del self.calls[member]
         if link is not None and self.links.get(member) is link:
             del self.links[member]
-            self.log("link.down", member=member, reason=reason)
+            # At rest: as often as work comes and goes.
+            if reason != "at-rest":
+                self.log("link.down", member=member, reason=reason)
             self.tell(LinkDown(member, link))
             if reason in ENDED and member in self.view:
                 Knock(self, self.view.members[member]).begin()
-        elif reason not in ("refused", "never-came-up", "stranger", "asked"):
+        elif reason not in QUIET:
             self.log("link.refused", member=member, reason=reason)
-        if member > self.me.member and member in self.view and member not in self.links:
+        if member not in self.view or member in self.links:
+            return
+        if gone and member in self.wanted and member not in self.peers:
+            self._unreached(member)
+        elif self._calls(member):
             _, pause = self.calling.get(member, (0.0, PAUSE[0]))
             self.calling[member] = (self.loop.now() + pause * (0.5 + self.chance.random()), pause)
             self.post(None)  # it waits for a time anew
@@ -278,7 +376,8 @@
 
     def __init__(self, links: Links, sock: socket.socket, member: str) -> None:
         self.links, self.sock, self.member = links, sock, member
-        self.called = bool(member)
+        self.called, self.greeted = bool(member), False
+        self.cells = links.view.cells  # as we say in our greeting
         self.reader = Reader()
         self.early: list[Frame] = []  # what came with the greeting
         self.unsent = bytearray()
@@ -286,8 +385,13 @@
         self.heard = self.said = 0.0
         self.quick_since, self.quick_until = 0.0, -inf  # something is at stake
         self.wary_until = -inf  # one of us may need the other's word
-        self.over = False
-        links.new[self] = None
+        self.worked = -inf  # when a word about work came or went last
+        self.idle = [False, False]  # since then we, and they, have said that nothing needs this link
+        self.over = self.rested = False
+        if self.called:
+            links.calls[member] = self
+        else:
+            links.new[self] = None
         super().__init__(links.loop)
 
     def run(self) -> Coroutine[None]:
@@ -298,51 +402,66 @@
             yield from self._talk()
         except Refused as refused:
             reason = str(refused)
+            if self.rested:
+                self.over = True
+                self.links.lost(self, self.member, reason)
+                yield from self._linger()
         except OSError:
             reason = "reset"
         except Exception:
             reason = "defect"
             raise
         finally:
-            self.over = True
             self.loop.forget(self.sock.fileno())
             self.sock.close()
-            self.links.lost(self, self.member, reason)
+            if not self.over:
+                self.over = True
+                self.links.lost(self, self.member, reason)
 
     def _greet(self) -> Coroutine[None]:
+        """Until both know each other. A call is up once the other side has said more than its greeting."""
         until = self.loop.now() + GREETING
         if self.called:
             self._want(WRITE)
-            if (yield until) is None:
-                raise Refused("never-came-up")
+            while not isinstance(mail := (yield until), Ready):
+                self._still_wanted(mail, until, "never-came-up")
             if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                 raise Refused("refused")
-        self._send(framed(self.links.me))
+        hello = msgspec.structs.replace(self.links.me, cells=self.cells)
+        self._send(framed(hello))
         self._want(READ)
-        while True:
+        while not self.greeted or (self.called and not self.early):
             mail = yield until
-            if mail is CLOSE:
-                raise Refused("not-needed")
-            if mail is None and self.loop.now() >= until:
-                raise Refused("no-greeting")
             if not isinstance(mail, Ready):
+                self._still_wanted(mail, until, "no-greeting")
                 continue
-            for number, frame in enumerate(frames := self._receive()):
-                if number == 0:
-                    if isinstance(frame, Which) and not self.called:
-                        yield from self._say(frame, until)
-                    if not isinstance(frame, Hello):
-                        raise Refused("no-greeting")
-                    self.member = self.links.named(self, frame)
-            if frames:
-                # Only the greeting comes before both know each other.
-                self.early = frames[1:]
-                return
+            for frame in self._receive():
+                if self.greeted:
+                    self.early.append(frame)
+                    continue
+                if isinstance(frame, Which) and not self.called:
+                    yield from self._say(frame, until)
+                if not isinstance(frame, Hello):
+                    raise Refused("no-greeting")
+                self.greeted = True
+                self.member = self.links.named(self, frame)
+
+    def _still_wanted(self, mail: Any, until: float, late: str) -> None:
+        if mail is CLOSE:
+            raise Refused("replaced" if self.member in self.links.links else "not-needed")
+        if mail is None and self.loop.now() >= until:
+            raise Refused(late)
 
     def _say(self, asked: Which, until: float) -> Coroutine[None]:
-        """What one that is in no view may know: which policy we follow, and what is decided."""
-        if (asked.fleet, asked.version) != (self.links.me.fleet, self.links.me.version):
+        """What one that is in no view may know: which policy we follow, others say, and what is decided."""
+        if asked.fleet != self.links.me.fleet:
             raise Refused("other-fleet")
+        if asked.version != self.links.me.version:
+            raise Refused("other-version")
+        if self.links.rouse():
+            at = self.loop.now() + BEAT
+            while self.loop.now() < at:
+                yield at
         for frame in self.links.says(asked):
             self._send(framed(frame))
         while self.unsent and self.loop.now() < until:
@@ -351,26 +470,30 @@
         raise Refused("asked")
 
     def _talk(self) -> Coroutine[None]:
-        self.heard = self.said = self.loop.now()
+        self.heard = self.said = self.worked = self.loop.now()
+        if not self.called:
+            self._beat(self.said)  # which tells who called that it is up
         self._take(self.early)
         while True:
             now = self.loop.now()
-            lost_at = self.heard + SILENCE * self.links.each(IDLE, 1 / A_SECOND)
-            if now < self.quick_until:
+            lost_at = self.heard + SILENCE * self.links.idle()
+            if now < self.quick_until and not self._resting:
                 lost_at = max(self.heard, self.quick_since) + SILENCE * BEAT
             if now >= lost_at:
                 raise Refused("silent")
             if now >= self._beat_at(now):
-                beat = self.links.beat()
-                if beat.lapsed:
-                    self.wary_until = now + STAKE
-                self._send(framed(beat))
-            mail = yield min(self._beat_at(now), lost_at)
+                self._beat(now)
+            rest_at = self.worked + REST if self._resting else inf
+            if now >= rest_at and not self.mailbox:
+                self._rest(now)
+            mail = yield min(self._beat_at(now), lost_at, rest_at)
             if isinstance(mail, Say):
                 self._quicken()
                 self._send(mail.data)
             elif mail is WARY:
                 self.wary_until = self.loop.now() + STAKE
+            elif mail is PROBE or mail is ROUSE:
+                self._beat(self.loop.now(), asks=mail is ROUSE)
             elif isinstance(mail, Ready):
                 if mail.mask & WRITE:
                     self._flush()
@@ -379,29 +502,77 @@
             elif mail is CLOSE:
                 raise Refused("replaced")
 
+    def _beat(self, now: float, worded: bool = False, asks: bool = False) -> None:
+        """`worded`: with our word on the policy; `asks`: for that of the other side."""
+        beat = self.links.beat(self.member, worded or now < self.wary_until)
+        if asks:
+            beat = msgspec.structs.replace(beat, asks=True)
+        if beat.lapsed:
+            self.wary_until = now + STAKE
+        self.idle[0] = beat.idle
+        self._send(framed(beat))
+
     def _beat_at(self, now: float) -> float:
         # The other side may think of it as at stake for a moment longer: we go on beating for that.
-        if now < self.quick_until + SILENCE * BEAT:
+        if now < self.quick_until + SILENCE * BEAT and not self._resting:
             return self.said + BEAT
         if now < self.wary_until:
             return self.said + self.links.each(BEAT, WARY_EACH)
-        return self.said + self.links.each(IDLE, 1 / A_SECOND)
+        return self.said + self.links.idle()
+
+    @property
+    def _resting(self) -> bool:
+        """Outside our cell, and neither side needs it."""
+        return all(self.idle) and self.links.outside(self.member)
+
+    def _rest(self, now: float) -> None:
+        if not self.links.beat(self.member, False).idle:
+            self.worked, self.idle[0] = now, False  # it is needed since we said that it is not
+            return
+        self._send(framed(Rest()))
+        self.rested = True
+        raise Refused("at-rest")
+
+    def _linger(self) -> Coroutine[None]:
+        """Until the other side has read our last word. What comes meanwhile it says again, on a new link.
+
+        Guards against a reset, which says that our process has ended.
+        """
+        until = self.loop.now() + GREETING
+        with contextlib.suppress(OSError):
+            while self.unsent and self.loop.now() < until:
+                yield until
+                self._flush()
+            self.sock.shutdown(socket.SHUT_WR)
+            while isinstance((yield until), Ready) or self.loop.now() < until:
+                with contextlib.suppress(BlockingIOError):
+                    if not self.sock.recv(CHUNK):
+                        return
 
     def _quicken(self) -> None:
         now = self.loop.now()
-        if now >= self.quick_until:
+        if now >= self.quick_until or all(self.idle):
             self.quick_since = now
         self.quick_until = now + STAKE
+        self.worked, self.idle = now, [False, False]
 
     def _take(self, frames: list[Frame]) -> None:
         for frame in frames:
             if isinstance(frame, Hello):
                 raise Refused("greeted-twice")
+            if isinstance(frame, Rest):
+                raise Refused("at-rest")
             if not isinstance(frame, Beat):
                 self._quicken()
-            elif frame.lapsed:
-                self.wary_until = self.loop.now() + STAKE
+            else:
+                self.idle[1] = frame.idle
+                if frame.lapsed:
+                    self.wary_until = self.loop.now() + STAKE
+                if frame.asks:
+                    self._beat(self.loop.now(), worded=True)
             self.links.tell(Framed(self.member, frame))
+        if frames and self.loop.now() >= self.said + ANSWER:
+            self._beat(self.loop.now())
 
     def _receive(self) -> list[Frame]:
         try:
--- a/starlingwheel/net/fleet/mail.py
+++ b/starlingwheel/net/fleet/mail.py
@@ -25,6 +25,20 @@
     link: Any
 
 
+@dataclass(slots=True, eq=False)
+class Reach:
+    """To the links: that member is needed. `LinkUp` or `Unreached` follows, unless its link is up already."""
+
+    member: str
+
+
+@dataclass(slots=True, eq=False)
+class Unreached:
+    """To the module: no link to that member came up."""
+
+    member: str
+
+
 @dataclass(slots=True, eq=False)
 class Framed:
     """To the module: a frame that a member has sent."""
@@ -80,11 +94,19 @@
     """To a link: the words of others may be needed soon."""
 
 
+class Probe:
+    """To a link: say something, which shows whether the other side has it still."""
+
+
+class Rouse:
+    """To a link: have the other side say its word on the policy, once."""
+
+
 class Anew:
     """To the arbiter's client: what it watches may have gone quiet; begin the watch anew."""
 
 
-WAKE, WARY, ANEW = Wake(), Wary(), Anew()
+WAKE, WARY, PROBE, ROUSE, ANEW = Wake(), Wary(), Probe(), Rouse(), Anew()
 
 
 @dataclass(slots=True, eq=False)
--- a/starlingwheel/net/fleet/module.py
+++ b/starlingwheel/net/fleet/module.py
@@ -17,7 +17,7 @@
 from ..memory.work import Answer, Errand, Job
 from ..module import Module
 from .links import framed
-from .mail import WARY, Framed, Lapsed, LinkDown, LinkUp, Recorded, Released, Renewed, Say, Viewed
+from .mail import WARY, Framed, Lapsed, LinkDown, LinkUp, Recorded, Released, Renewed, Say, Unreached, Viewed
 from .zones import Zoning
 
 if TYPE_CHECKING:
@@ -69,6 +69,7 @@
         self.ruling, self.following = ruling, ruling.following
         self.deferred = 0  # while it was not known which policy holds
         self.links: dict[str, Any] = {}
+        self.reaching: Callable[[str], None] = lambda member: None  # has a link to it come up
         self.gates: dict[Errand, Gate] = {}
         self.errands: dict[tuple[Item, int], Errand] = {}
         self.items: dict[WorkItem, Item] = {}
@@ -104,6 +105,7 @@
                 self.covering.heard(member, frame)
             case Recorded(records, gap):
                 self.following.recorded(records, gap)
+                self._wary()
                 self.zoning.recorded(records, self.runner.now)
             case LinkUp(member, link):
                 self.links[member] = link
@@ -121,29 +123,38 @@
                     for link in self.links.values():
                         link.post(CLOSE)
                 self.covering.viewed(view, gap)
+            case Unreached(member):
+                self.covering.unreached(member)
             case Renewed(until, entered):
                 self.covering.lease_until = until
                 self.following.renewed(until, entered)
+                self._wary()
             case None:
                 self.following.doubt()
-                if self.following.uneasy:
-                    for link in self.links.values():
-                        link.post(WARY)
+                self._wary()
                 self.covering.tick()
                 super()._handle(mail)
             case _:
                 super()._handle(mail)
         self.alarm_at = min(self.alarm_at, self.covering.next_at(), self._ahead())
 
+    def _wary(self) -> None:
+        """Guards against doubt until the next beat, which says no word while nobody needs it."""
+        if self.following.uneasy:
+            for link in self.links.values():
+                link.post(WARY)
+
     def _ahead(self) -> float:
         at = self.following.next_at()
         return at if at > self.runner.now else inf
 
-    def beat(self) -> Beat:
+    def beat(self, member: str, worded: bool) -> Beat:
+        """What to say to a member. `worded`: it may need our word on the policy."""
         self.covering.now = self.following.now = self.loop.now()
         self.following.doubt()
         lapsed = not self.covering.may_decide() or self.following.uneasy
-        return Beat(self.covering.view.digest, lapsed, self.following.word())
+        word = self.following.word() if worded or lapsed else None
+        return Beat(self.covering.digest, lapsed, word, not self.covering.needs(member))
 
     def _unruled(self, job: Job) -> bool:
         """True: answered here, since it is not known which policy holds. Else it is taken under that one."""
@@ -239,6 +250,10 @@
         link.post(Say(framed(frame)))
         return True
 
+    def reach(self, member: str) -> bool:
+        self.reaching(member)
+        return member in self.covering.view
+
     def go(self, item: Item, number: int) -> None:
         if (errand := self.errands.get((item, number))) is not None:
             self.gates[errand].open = True
--- a/starlingwheel/net/fleet/policy.py
+++ b/starlingwheel/net/fleet/policy.py
@@ -15,17 +15,20 @@
 
 from ...decisions.terms import Terms
 from ...fleet import common
-from ...fleet.frames import Frame, Given, Says, Want, Which
+from ...fleet.frames import RELAYED, Frame, Given, Says, Want, Which
 from ...fleet.part import CoverPart, FleetPart, ZonesPart
 from ...fleet.policy import WORD, Following, Kept
 from ...fleet.records import Decision, Policy
+from ...fleet.view import place
 from ..actor import Actor, Coroutine
 from ..lifecycle.config import Config, Unusable, standing, terms_of
 from .links import Inquiry, Links
-from .mail import ANEW
+from .mail import ANEW, WARY
 
-AT_ONCE = 32  # members asked in one go
-EACH = 1 / 4  # of the time for which a word counts: how often others are asked
+AT_ONCE = 16  # members asked in one go
+EACH = 1 / 16  # of the time for which a word counts: how often it is seen who is to be asked
+AGAIN = 3 / 4  # of the same: so old is the youngest word of a cell, or of a name, when it is asked for anew
+SLOW = 1 / 4  # of the same: so long an answer is waited for before another one is asked
 TOLD = 8  # differences that are named in one line of the log
 decoder = msgspec.json.Decoder(Kept)
 
@@ -176,10 +179,10 @@
         return self._terms(ruling, config)
 
     def says(self, asked: Which) -> list[Frame]:
-        """To one that is in no view."""
+        """To one that we have no link with: our word, and those that we have heard over our links."""
         following = self.following
         following.now = self.module.loop.now()
-        frames: list[Frame] = [Says(following.word())]
+        frames: list[Frame] = [Says(following.word(), following.lately(self.module.links, RELAYED))]
         return [*frames, *self.given()] if following.known > asked.known else frames
 
     def given(self) -> list[Frame]:
@@ -189,8 +192,9 @@
     def heard(self, frame: Frame) -> list[Frame]:
         """A frame about the policy; what is answered."""
         match frame:
-            case Says(word):
-                self.following.heard(word)
+            case Says(word, others):
+                for one in (word, *others[:RELAYED]):
+                    self.following.heard(one)
             case Want():
                 return self.given()
             case Given(data):
@@ -202,7 +206,10 @@
 
 
 class Asker(Actor):
-    """Where the words of others are needed, asks those that we have no link with; and the arbiter again."""
+    """Where the words of others are needed, asks for those that no link brings; and the arbiter again.
+
+    Of each other cell one member is asked in turn, which passes on what it has heard of its own.
+    """
 
     lasting = True
 
@@ -210,34 +217,59 @@
         self, links: Links, following: Following, onlooker: Actor, chance: random.Random, lease: float
     ) -> None:
         self.links, self.following, self.onlooker = links, following, onlooker
-        self.chance, self.each = chance, EACH * WORD * lease
+        self.chance, self.counts = chance, WORD * lease
         self.anew_at = -inf
+        self.asked: dict[int | str, float] = {}  # when each cell, or each name by itself, was asked last
         super().__init__(links.loop)
 
     def run(self) -> Coroutine[None]:
         while True:
-            yield self.loop.now() + self.each * (0.75 + 0.5 * self.chance.random())
             following, now = self.following, self.loop.now()
-            following.now = now
+            until = now + EACH * self.counts * (0.75 + 0.5 * self.chance.random())
+            at = following.uneasy_at()
+            if at > now and not following.doubt_since:
+                until = max(until, min(at, now + self.counts))
+            while self.loop.now() < until:
+                yield until
+            now = following.now = self.loop.now()
             if not following.uneasy:
                 continue
-            for address in self._addresses():
+            for link in self.links.links.values():
+                link.post(WARY)
+            for address in self._addresses(now):
                 Inquiry(self.links, address, following.known).begin()
             if following.promise is not None and now >= max(following.promise.at, self.anew_at):
                 # Guards against a watch that has gone quiet just when what it would tell is waited for.
                 self.anew_at = now + following.lease
                 self.onlooker.post(ANEW)
 
-    def _addresses(self) -> list[str]:
-        view = self.links.view.members
-        there = {m.name: m.address for m in view.values()}
-        heard = {view[m].name for m in self.links.links if m in view}
+    def _addresses(self, now: float) -> list[str]:
+        """Whom to ask now: of those whose words are the oldest."""
+        view, words = self.links.view, self.following.words
+        there = {m.name: m.address for m in view.members.values()}
+        heard = {view.members[m].name for m in self.links.links if m in view}
         known = {name: at for name, at in self.following.kept.addresses.items() if name not in there}
-        missing = [at for name, at in (known | there).items() if name not in heard]
-        missing = [at for at in missing if at and at != self._ours]
-        return self.chance.sample(missing, min(AT_ONCE, len(missing)))
-
-    @property
-    def _ours(self) -> str:
-        mine = self.links.view.members.get(self.following.me)
-        return mine.address if mine is not None else ""
+        mine, ours = there.get(self.following.name, ""), place(self.following.name.encode()) % view.cells
+        groups: dict[int | str, list[str]] = {}
+        for name, address in (known | there).items():
+            if name not in heard and address and address != mine:
+                cell = place(name.encode()) % view.cells
+                groups.setdefault(name if cell == ours else cell, []).append(address)
+        latest: dict[int | str, float] = {}
+        for word in words.values():
+            cell = place(word.name.encode()) % view.cells
+            group = word.name if cell == ours else cell
+            latest[group] = max(word.at, latest.get(group, -inf))
+        self.asked = {group: at for group, at in self.asked.items() if group in groups}
+        due = [
+            group
+            for group in groups
+            if now >= latest.get(group, -inf) + AGAIN * self.counts
+            and now >= self.asked.get(group, -inf) + SLOW * self.counts
+        ]
+        # Guards against all asking the same ones: in an order of our own.
+        self.chance.shuffle(due)
+        due.sort(key=lambda group: max(latest.get(group, -inf), self.asked.get(group, -inf)))
+        chosen = due[:AT_ONCE]
+        self.asked |= dict.fromkeys(chosen, now)
+        return [self.chance.choice(groups[group]) for group in chosen]
--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -20,7 +20,7 @@
 from .calls import CALLS
 from .connection import HoldingConnection
 from .links import Links
-from .mail import WAKE, Lapsed, Recorded, Strike, Viewed
+from .mail import WAKE, Lapsed, Reach, Recorded, Strike, Viewed
 from .module import CoveringModule
 from .policy import Asker, Ruling
 
@@ -58,6 +58,7 @@
         self.links = Links(
             node.loop, sock, hello, self._tell, self.module.beat, self.ruling.says, node.log, chance
         )
+        self.module.reaching = lambda member: self.links.post(Reach(member))
         self.asker = Asker(self.links, self.ruling.following, self.onlooker, chance, float(part.lease_s))
         node.connection = HoldingConnection
 
--- /dev/null
+++ b/tests/test_fleet_links.py
@@ -0,0 +1,398 @@
+"""Stories of links between members of several cells: calls that cross, links that rest, what is refused."""
+
+import random
+import socket
+from collections import Counter
+
+import msgspec
+import pytest
+
+from starlingwheel.fleet import frames
+from starlingwheel.fleet.view import Member, View
+from starlingwheel.net.fleet import links as under_test
+from starlingwheel.net.fleet.links import Links, framed
+from starlingwheel.net.fleet.mail import Framed, LinkDown, LinkUp, Reach, Say, Strike, Unreached, Viewed
+from starlingwheel.net.loop import Loop
+
+WORK = frames.Find(b"k", b"m")  # a word about work
+
+
+class One:
+    """A member: its links on a loop of their own, and what they tell."""
+
+    def __init__(self, name, hello=None):
+        self.id = f"{name}.00"
+        self.defects, self.told, self.needed = [], [], set()
+        self.loop = Loop(lambda actor, error: self.defects.append(error))
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen()
+        self.member = Member(self.id, name, "{}:{}".format(*self.sock.getsockname()))
+        self.lines = []
+        hello = hello or frames.Hello("f", frames.VERSION, self.id)
+        self.links = Links(
+            self.loop, self.sock, hello, self.told.append, self.beat, lambda asked: [],
+            lambda event, **fields: self.lines.append((event, fields)), random.Random(name),
+        )  # fmt: skip
+        self.links.begin()
+
+    def beat(self, member, worded):
+        return frames.Beat(1, False, None, member not in self.needed)
+
+    def heard(self, kind):
+        return [mail for mail in self.told if isinstance(mail, kind)]
+
+    def words(self):
+        return [mail.frame for mail in self.heard(Framed) if not isinstance(mail.frame, frames.Beat)]
+
+    def up(self):
+        """Members by whose links as the module knows them."""
+        there = {}
+        for mail in self.told:
+            if isinstance(mail, LinkUp):
+                there[mail.member] = mail.link
+            elif isinstance(mail, LinkDown) and there.get(mail.member) is mail.link:
+                del there[mail.member]
+        return there
+
+    def reasons(self):
+        return self.links.reasons
+
+
+class Town:
+    """Members whose loops turn one at a time, in an order of the story's."""
+
+    def __init__(self, seed=1):
+        self.all, self.chance = [], random.Random(seed)
+
+    def add(self, name, **more):
+        self.all.append(One(name, **more))
+        return self.all[-1]
+
+    def see(self, cells, *who, members=None):
+        members = [one.member for one in self.all] if members is None else members
+        for one in who or self.all:
+            one.links.post(Viewed(View(members, cells), False))
+
+    def turn(self):
+        for one in self.chance.sample(self.all, self.chance.randint(1, len(self.all))):
+            one.loop.turn(0.0005)
+
+    def until(self, happened, within=8.0):
+        end = self.all[0].loop.now() + within
+        while self.all[0].loop.now() < end:
+            if result := happened():
+                return result
+            self.turn()
+        raise AssertionError("it has not happened")
+
+    def let_pass(self, seconds):
+        end = self.all[0].loop.now() + seconds
+        while self.all[0].loop.now() < end:
+            self.turn()
+
+    def close(self):
+        for one in self.all:
+            one.loop.close()
+            one.sock.close()
+            assert not one.defects
+
+
+@pytest.fixture
+def make_town():
+    made = []
+
+    def make(seed=1):
+        made.append(Town(seed))
+        return made[-1]
+
+    yield make
+    for town in made:
+        town.close()
+
+
+def of_cells(count, *cells):
+    """A name for each of these cells, in the order of the alphabet."""
+    names, at = [], 0
+    for cell in cells:
+        while View([], count).cell_of(f"n{at:03d}.00") != cell:
+            at += 1
+        names.append(f"n{at:03d}")
+        at += 1
+    return names
+
+
+@pytest.fixture
+def pair(make_town):
+    """Two members of different cells, each of which sees both."""
+    town = make_town()
+    for name in of_cells(2, 0, 1):
+        town.add(name)
+    town.see(2)
+    town.let_pass(0.02)
+    return town
+
+
+def connected(one, other):
+    """Both have a link to the other, and it is the same connection."""
+    mine, theirs = one.links.links.get(other.id), other.links.links.get(one.id)
+    if mine is None or theirs is None or mine.over or theirs.over:
+        return False
+    return mine.sock.getsockname() == theirs.sock.getpeername()
+
+
+def test_members_of_one_cell_are_linked_and_others_are_not(make_town):
+    town = make_town()
+    for name in of_cells(2, 0, 0, 0, 1, 1):
+        town.add(name)
+    town.see(2)
+    cells = [town.all[:3], town.all[3:]]
+    town.until(lambda: all(len(one.links.links) == len(cell) - 1 for cell in cells for one in cell))
+    town.let_pass(0.1)
+    for cell in cells:
+        for one in cell:
+            assert set(one.up()) == {other.id for other in cell} - {one.id}
+
+
+@pytest.mark.parametrize("who", [0, 1])
+def test_either_of_two_cells_can_reach_the_other(pair, who):
+    one, other = pair.all[who], pair.all[1 - who]
+    assert not one.links.links
+    one.links.post(Reach(other.id))
+    pair.until(lambda: other.id in one.up() and one.id in other.up())
+    assert connected(one, other)
+    one.links.post(Reach(other.id))
+    pair.let_pass(0.05)
+    assert len(one.heard(LinkUp)) == 1 and not one.heard(Unreached)
+
+
+def crossed(make_town, seed, within=8.0):
+    """Both call in one moment. What each was told, and whether the same one connection is left."""
+    town = make_town(seed)
+    for name in of_cells(2, 0, 1):
+        town.add(name)
+    one, other = town.all
+    one.needed.add(other.id), other.needed.add(one.id)
+    town.see(2)
+    town.let_pass(0.005)
+    one.links.post(Reach(other.id)), other.links.post(Reach(one.id))
+    try:
+        town.until(lambda: other.id in one.up() and one.id in other.up(), within)
+    except AssertionError:
+        return town, False
+    town.let_pass(0.06)
+    same = connected(one, other) and not (one.links.calls or other.links.calls)
+    return town, same and set(one.up()) == {other.id} and set(other.up()) == {one.id}
+
+
+def test_of_two_calls_that_cross_one_link_remains_the_same_for_both(make_town):
+    refused = 0
+    for seed in range(40):
+        town, same = crossed(make_town, seed)
+        assert same
+        for one in town.all:
+            assert len(one.heard(LinkUp)) == 1  # nobody was told of one that was not to be
+            assert not one.heard(LinkDown) and not one.heard(Unreached) and not one.heard(Strike)
+        refused += town.all[0].reasons()["crossed"]
+    assert refused > 10
+
+
+def test_without_that_rule_calls_that_cross_end_each_other(make_town, monkeypatch):
+    monkeypatch.setattr(Links, "_answerable", lambda self, member: None)
+    assert not all(crossed(make_town, seed, within=under_test.GREETING)[1] for seed in range(40))
+
+
+def test_a_link_that_neither_side_needs_rests_and_nothing_was_lost(pair):
+    one, other = pair.all
+    one.links.post(Reach(other.id))
+    pair.until(lambda: connected(one, other))
+    one.links.links[other.id].post(Say(framed(WORK)))
+    pair.until(lambda: other.words())
+    pair.until(lambda: not one.up() and not other.up())
+    for each in pair.all:
+        assert each.reasons()["at-rest"] == 1
+        assert not each.heard(Strike) and not any(event == "member.gone" for event, _ in each.lines)
+    pair.let_pass(0.1)
+    assert len(one.links.loop.watched) == len(other.links.loop.watched) == 1  # their listening sockets
+
+
+@pytest.mark.parametrize("who", [0, 1])
+def test_a_link_that_one_side_needs_stays(pair, who):
+    one, other = pair.all
+    pair.all[who].needed.add(pair.all[1 - who].id)
+    one.links.post(Reach(other.id))
+    pair.until(lambda: connected(one, other))
+    pair.let_pass(under_test.REST * 2)
+    assert connected(one, other) and len(one.heard(LinkUp)) == 1
+    pair.all[who].needed.clear()
+    pair.until(lambda: not one.up() and not other.up())
+
+
+def rested(make_town, seed):
+    """Work begins on the one side in the moment in which the other one ends the link."""
+    town = make_town(seed)
+    for name in of_cells(2, 0, 1):
+        town.add(name)
+    one, other = town.all
+    town.see(2)
+    town.let_pass(0.005)
+    one.links.post(Reach(other.id))
+    town.until(lambda: connected(one, other))
+    link = one.links.links[other.id]
+    theirs = other.links.links[one.id]
+    town.until(lambda: all(theirs.idle) and theirs.worked > link.worked - 0.5)
+    while other.loop.now() < min(theirs.worked, link.worked) + under_test.REST - 0.1:
+        town.turn()
+    # The other side turns alone until it has said its last word.
+    while other.links.links:
+        other.loop.turn(0.01)
+    assert not link.over
+    one.needed.add(other.id)
+    link.post(Say(framed(WORK)))
+    return town, one, other
+
+
+def test_work_that_begins_as_a_link_rests_opens_a_new_one_and_loses_nothing(make_town):
+    for seed in range(3):
+        town, one, other = rested(make_town, seed)
+        town.until(lambda one=one: one.heard(LinkDown))
+        assert one.reasons()["at-rest"] == 1 and not other.words()
+        # What the cover does when a link has ended that it needs.
+        one.links.post(Reach(other.id))
+        town.until(lambda one=one, other=other: other.id in one.up())
+        one.up()[other.id].post(Say(framed(WORK)))
+        town.until(lambda other=other: other.words())
+        assert other.words() == [WORK]
+        for each in town.all:
+            assert not each.heard(Strike) and not each.heard(Unreached)
+
+
+def test_links_to_former_peers_rest_and_new_peers_are_called(make_town):
+    town = make_town()
+    for name in of_cells(2, 0, 0, 1, 1):
+        town.add(name)
+    town.see(1)
+    town.until(lambda: all(len(one.up()) == 3 for one in town.all))
+    town.see(2)
+    town.until(lambda: all(len(one.up()) == 1 for one in town.all), within=30.0)
+    a, b, c, d = town.all
+    assert connected(a, b) and connected(c, d)
+    assert all(one.reasons()["at-rest"] == 2 for one in town.all)
+    town.see(1)
+    town.until(lambda: all(len(one.up()) == 3 for one in town.all))
+    assert not any(one.heard(Strike) for one in town.all)
+
+
+def test_who_sees_other_cells_is_refused_and_calls_again(make_town):
+    town = make_town()
+    for name in of_cells(4, 0, 0):
+        town.add(name)
+    one, other = town.all
+    town.see(4, one)
+    town.see(2, other)
+    town.until(lambda: one.reasons()["other-cells"] and other.reasons()["other-cells"])
+    town.let_pass(0.2)
+    assert not one.heard(LinkUp) and not other.heard(LinkUp) and not one.heard(Framed)
+    town.see(4, other)
+    town.until(lambda: connected(one, other))
+
+
+def test_whom_no_link_reaches_in_time_is_told_of_as_such(pair):
+    one, other = pair.all
+    pair.see(4, other)
+    one.links.post(Reach(other.id))
+    pair.until(lambda: one.heard(Unreached))
+    assert not one.links.wanted and not one.links.calling
+    pair.let_pass(0.1)
+    assert not one.links.calls
+    one.links.post(Reach("nobody.00"))
+    pair.until(lambda: len(one.heard(Unreached)) == 2)
+
+
+def test_a_process_that_has_ended_is_told_of_at_once(pair):
+    one, other = pair.all
+    other.links.loop.forget(other.sock.fileno())
+    other.sock.close()
+    pair.all.remove(other)
+    one.links.post(Reach(other.id))
+    pair.until(lambda: one.heard(Unreached), within=under_test.GREETING / 2)
+    other.loop.close()
+
+
+def test_a_call_of_who_has_lost_the_link_alone_shows_that_and_gets_one(pair):
+    one, other = pair.all
+    one.needed.add(other.id), other.needed.add(one.id)
+    one.links.post(Reach(other.id))
+    pair.until(lambda: connected(one, other))
+    # The greater one's side ends; the smaller one is not told, as where the network drops it.
+    there = other.links.links[one.id]
+    silent = socket.socket(fileno=socket.dup(there.sock.fileno()))
+    there.post(under_test.CLOSE)
+    pair.until(lambda: other.heard(LinkDown))
+    assert connected(one, other) is False and other.id in one.up()
+    other.links.post(Reach(one.id))
+    pair.until(lambda: one.reasons()["crossed"])
+    silent.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    silent.close()
+    pair.until(lambda: connected(one, other))
+    assert not other.heard(Unreached)
+
+
+@pytest.mark.parametrize(
+    ("changed", "reason"),
+    [
+        ({"version": frames.VERSION + 1}, "other-version"),
+        ({"version": frames.VERSION - 1}, "other-version"),
+        ({"fleet": "g"}, "other-fleet"),
+        ({"cells": 4}, "other-cells"),
+        ({"member": "stranger.00"}, "stranger"),
+    ],
+)
+def test_who_greets_wrongly_is_refused_and_nothing_it_says_is_acted_on(pair, changed, reason):
+    one, other = pair.all
+    hello = msgspec.structs.replace(frames.Hello("f", frames.VERSION, other.id, 2), **changed)
+    with socket.create_connection(one.sock.getsockname()) as caller:
+        caller.sendall(framed(hello) + framed(WORK) + framed(frames.Beat(1, False)))
+        pair.until(lambda: one.reasons()[reason])
+        assert not one.told
+
+
+def test_who_answers_under_another_name_is_refused(make_town):
+    town = make_town()
+    one_name, other_name = of_cells(1, 0, 0)
+    one = town.add(one_name)
+    other = town.add(other_name, hello=frames.Hello("f", frames.VERSION, "other.00"))
+    town.see(1)
+    town.until(lambda: one.reasons()["not-who-was-called"])
+    assert not one.heard(LinkUp) and not one.heard(Framed)
+    assert not other.up()
+
+
+def test_half_a_frame_ends_a_link_without_anything_acted_on(pair):
+    one, other = pair.all
+    hello = framed(frames.Hello("f", frames.VERSION, other.id, 2))
+    with socket.create_connection(one.sock.getsockname()) as caller:
+        caller.sendall(hello + framed(WORK)[:-1])
+        pair.until(lambda: one.up())
+        pair.let_pass(0.05)
+        assert not one.words()
+    pair.until(lambda: not one.up())
+    assert not one.words()
+    with socket.create_connection(one.sock.getsockname()) as caller:
+        caller.sendall(hello[:-1])
+        pair.until(lambda: one.reasons()["no-greeting"])
+    assert len(one.heard(LinkUp)) == 1
+
+
+def test_at_rest_a_beat_is_answered_at_once_so_that_one_of_two_sides_waits(make_town):
+    town = make_town()
+    for name in of_cells(1, 0, 0):
+        town.add(name)
+    town.see(1)
+    one, other = town.all
+    town.until(lambda: connected(one, other))
+    town.let_pass(under_test.STAKE + 0.5)
+    counts = Counter({each.id: len(each.heard(Framed)) for each in town.all})
+    town.let_pass(3 * under_test.IDLE[0])
+    for each in town.all:
+        assert 2 <= len(each.heard(Framed)) - counts[each.id] <= 4
