--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -14,7 +14,7 @@
 from starlingwheel.net.fleet.mail import Framed, LinkDown, LinkUp, Reach, Say, Strike, Unreached, Viewed
 from starlingwheel.net.loop import Loop
 
-WORK = frames.Find(b"k", b"m")  # a word about work
+WORK, MORE = frames.Find(b"k", b"m"), frames.Find(b"l", b"m")  # words about work
 
 
 class One:
@@ -240,7 +240,8 @@
     town.until(lambda: connected(one, other))
     link = one.links.links[other.id]
     theirs = other.links.links[one.id]
-    town.until(lambda: all(theirs.idle) and theirs.worked > link.worked - 0.5)
+    link.post(Say(framed(WORK)))
+    town.until(lambda: other.words() and all(theirs.idle))
     while other.loop.now() < min(theirs.worked, link.worked) + under_test.REST - 0.1:
         town.turn()
     # The other side turns alone until it has said its last word.
@@ -248,7 +249,7 @@
         other.loop.turn(0.01)
     assert not link.over
     one.needed.add(other.id)
-    link.post(Say(framed(WORK)))
+    link.post(Say(framed(MORE)))
     return town, one, other
 
 
@@ -256,13 +257,12 @@
     for seed in range(3):
         town, one, other = rested(make_town, seed)
         town.until(lambda one=one: one.heard(LinkDown))
-        assert one.reasons()["at-rest"] == 1 and not other.words()
+        assert one.reasons()["at-rest"] == 1 and other.words() == [WORK]
         # What the cover does when a link has ended that it needs.
         one.links.post(Reach(other.id))
         town.until(lambda one=one, other=other: other.id in one.up())
-        one.up()[other.id].post(Say(framed(WORK)))
-        town.until(lambda other=other: other.words())
-        assert other.words() == [WORK]
+        one.up()[other.id].post(Say(framed(MORE)))
+        town.until(lambda other=other: other.words() == [WORK, MORE])
         for each in town.all:
             assert not each.heard(Strike) and not each.heard(Unreached)
 
