Words on the policy passed on: one member of each other cell is asked in turn

While the arbiter is gone a member counts the words of more than half of the registered names; with cells its links bring those of its own cell alone. Whoever is asked passes on what its own cell has said lately, each word with its own time, and asks its cell first where it has not lately.

With words made younger on their way the story of more than half gone fails.

--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -8,22 +8,37 @@
 import pytest
 
 from starlingwheel.fleet import frames
+from starlingwheel.fleet.policy import Following, Kept, Word
+from starlingwheel.fleet.records import Records
 from starlingwheel.fleet.view import Member, View
 from starlingwheel.net.fleet import links as under_test
 from starlingwheel.net.fleet.links import Links, framed
 from starlingwheel.net.fleet.mail import Framed, LinkDown, LinkUp, Reach, Say, Strike, Unreached, Viewed
+from starlingwheel.net.fleet.policy import Asker
 from starlingwheel.net.loop import Loop
 
 WORK, MORE = frames.Find(b"k", b"m"), frames.Find(b"l", b"m")  # words about work
+STEP = 0.001  # seconds between turns
+
+
+class Clock:
+    """Goes on with the turns of the story, however busy the machine is."""
+
+    def __init__(self):
+        self.time = 1000.0
+
+    def __call__(self):
+        return self.time
 
 
 class One:
     """A member: its links on a loop of their own, and what they tell."""
 
-    def __init__(self, name, hello=None):
+    def __init__(self, clock, name, hello=None):
         self.id = f"{name}.00"
         self.defects, self.told, self.needed = [], [], set()
         self.loop = Loop(lambda actor, error: self.defects.append(error))
+        self.loop.now = clock
         self.sock = socket.socket()
         self.sock.bind(("127.0.0.1", 0))
         self.sock.listen()
@@ -63,10 +78,10 @@
     """Members whose loops turn one at a time, in an order of the story's."""
 
     def __init__(self, seed=1):
-        self.all, self.chance = [], random.Random(seed)
+        self.all, self.chance, self.clock = [], random.Random(seed), Clock()
 
     def add(self, name, **more):
-        self.all.append(One(name, **more))
+        self.all.append(One(self.clock, name, **more))
         return self.all[-1]
 
     def see(self, cells, *who, members=None):
@@ -76,19 +91,20 @@
 
     def turn(self):
         for one in self.chance.sample(self.all, self.chance.randint(1, len(self.all))):
-            one.loop.turn(0.0005)
+            one.loop.turn(0)
+        self.clock.time += STEP
 
     def until(self, happened, within=8.0):
-        end = self.all[0].loop.now() + within
-        while self.all[0].loop.now() < end:
+        end = self.clock() + within
+        while self.clock() < end:
             if result := happened():
                 return result
             self.turn()
         raise AssertionError("it has not happened")
 
     def let_pass(self, seconds):
-        end = self.all[0].loop.now() + seconds
-        while self.all[0].loop.now() < end:
+        end = self.clock() + seconds
+        while self.clock() < end:
             self.turn()
 
     def close(self):
@@ -242,11 +258,12 @@
     theirs = other.links.links[one.id]
     link.post(Say(framed(WORK)))
     town.until(lambda: other.words() and all(theirs.idle))
-    while other.loop.now() < min(theirs.worked, link.worked) + under_test.REST - 0.1:
+    while town.clock() < min(theirs.worked, link.worked) + under_test.REST - 0.1:
         town.turn()
     # The other side turns alone until it has said its last word.
     while other.links.links:
-        other.loop.turn(0.01)
+        other.loop.turn(0)
+        town.clock.time += STEP
     assert not link.over
     one.needed.add(other.id)
     link.post(Say(framed(MORE)))
@@ -396,3 +413,180 @@
     town.let_pass(3 * under_test.IDLE[0])
     for each in town.all:
         assert 2 <= len(each.heard(Framed)) - counts[each.id] <= 4
+
+
+# Which policy holds, while the arbiter is gone and each has links with its own cell only.
+
+LEASE = 1.0
+
+
+class Quiet:
+    """The door of `Following` where nothing is ever decided."""
+
+    def __init__(self, notes=None):
+        self.notes = [] if notes is None else notes
+
+    def check(self, body):
+        return ""
+
+    def keep(self, kept):
+        pass
+
+    def kept(self):
+        return ""
+
+    def rule(self, policy):
+        pass
+
+    def ask(self, member):
+        pass
+
+    def note(self, event, **fields):
+        self.notes.append((event, fields))
+
+
+class Ruled(One):
+    """A member that follows a policy, as its host has it: words over links, and for those who ask."""
+
+    def __init__(self, clock, name, hello=None):
+        super().__init__(clock, name, hello)
+        self.notes = []
+        now = self.loop.now()
+        self.following = Following(self.id, name, LEASE, Quiet(self.notes), now, Kept("f"))
+        self.links.says = self.says
+        self.links.tell = self.tell
+        self.asker = Asker(self.links, self.following, self.links, random.Random(name), LEASE)
+        self.asker.begin()
+        self.asks = 0
+
+    def beat(self, member, worded):
+        self.following.now = self.loop.now()
+        self.following.doubt()
+        lapsed = self.following.uneasy
+        return frames.Beat(1, lapsed, self.following.word() if worded or lapsed else None, True)
+
+    def says(self, asked):
+        self.asks += 1
+        self.following.now = self.loop.now()
+        others = self.following.lately(self.links.links, frames.RELAYED)
+        return [frames.Says(self.following.word(), others)]
+
+    def tell(self, mail):
+        self.following.now = self.loop.now()
+        if isinstance(mail, Framed) and isinstance(mail.frame, frames.Says):
+            for word in (mail.frame.word, *mail.frame.others):
+                self.following.heard(word)
+        elif isinstance(mail, Framed) and getattr(mail.frame, "word", None):
+            self.following.heard(mail.frame.word)
+
+    def doubt(self):
+        self.following.now = self.loop.now()
+        return self.following.doubt()
+
+
+class Realm(Town):
+    """Members of several cells, all of which the arbiter has named; from then on it is gone."""
+
+    def __init__(self, seed, count, cells):
+        super().__init__(seed)
+        for number in range(count):
+            self.all.append(Ruled(self.clock, f"n{number:03d}"))
+        records = Records()
+        records.revision = 1
+        records.members = {one.id: one.member for one in self.all}
+        records.names = {one.member.name: 1 for one in self.all}
+        for one in self.all:
+            one.following.now = one.loop.now()
+            one.following.recorded(records.copy(), True)
+            one.following.renewed(one.loop.now() + LEASE, 1)
+            assert not one.doubt()
+        self.see(cells)
+
+    def doubted(self, *who):
+        return [one.id for one in who or self.all if any(n == "policy.doubt" for n, _ in one.notes)]
+
+
+@pytest.fixture
+def make_realm(make_town):
+    made = []
+
+    def make(seed, count, cells):
+        made.append(Realm(seed, count, cells))
+        return made[-1]
+
+    yield make
+    for realm in made:
+        realm.close()
+
+
+def test_without_the_arbiter_nobody_doubts_though_each_hears_its_own_cell_only(make_realm):
+    realm = make_realm(1, 24, 8)
+    realm.let_pass(6 * LEASE)
+    assert not realm.doubted()
+    assert max(len(one.links.links) for one in realm.all) < 12
+
+
+def lost_half(realm):
+    """More than half hang. Whether each of the others comes to doubt, and stays in it."""
+    realm.let_pass(2 * LEASE)
+    realm.chance.shuffle(realm.all)
+    hung, realm.all = realm.all[:13], realm.all[13:]
+    until, doubts = realm.clock() + 2 * LEASE, set()
+    while len(doubts) < len(realm.all) and realm.clock() < until:
+        realm.turn()
+        doubts |= {one.id for one in realm.all if one.doubt()}
+    all_doubt = len(doubts) == len(realm.all)
+    realm.let_pass(LEASE)
+    all_doubt = all_doubt and all(one.doubt() == "alone" for one in realm.all)
+    realm.all += hung
+    return all_doubt
+
+
+def test_with_more_than_half_gone_all_others_doubt_however_words_are_passed_on(make_realm):
+    assert lost_half(make_realm(2, 24, 8))
+
+
+def test_words_that_were_made_younger_on_their_way_would_show(make_realm, monkeypatch):
+    lately = Following.lately
+
+    def younger(self, members, most):
+        known = {**self.words}
+        self.words = {m: msgspec.structs.replace(w, at=self.now) for m, w in known.items()}
+        passed = lately(self, self.words, most)
+        self.words = known
+        return passed
+
+    monkeypatch.setattr(Following, "lately", younger)
+    assert not lost_half(make_realm(2, 24, 8))
+
+
+def test_a_member_that_alone_is_cut_off_from_the_arbiter_hears_all_the_same(make_realm):
+    realm = make_realm(3, 24, 8)
+    cut = realm.all[0]
+    for _ in range(8):
+        for one in realm.all[1:]:
+            one.following.renewed(one.loop.now() + LEASE, 1)
+        realm.let_pass(LEASE / 2)
+    assert not realm.doubted() and cut.following.uneasy
+    assert all(not one.following.uneasy for one in realm.all[1:])
+
+
+def test_a_word_counts_by_its_own_age_whoever_passes_it_on():
+    members = {f"n{i}.00": Member(f"n{i}.00", f"n{i}", "") for i in range(3)}
+    records = Records()
+    records.revision, records.members = 1, members
+    records.names = dict.fromkeys(("n0", "n1", "n2"), 1)
+    one, other = (Following(f"n{i}.00", f"n{i}", LEASE, Quiet(), 0.0, Kept("f")) for i in range(2))
+    for each in (one, other):
+        each.recorded(records, True)
+    third = Word("n2.00", "n2", 10.0, 0, "", 1e9, 0, 0, True)
+    other.now = 10.4
+    other.heard(third)
+    one.now = 10.8
+    for word in other.lately(members, 8):
+        one.heard(word)
+    assert not one.doubt()
+    one.now = 10.0 + LEASE
+    assert one.doubt() == "alone"
+    other.now = one.now
+    assert other.lately(members, 8) == []
