Cells: the cover's decisions across cells, and an emulation that cuts its fleet (first, not whole)

An owner of another cell reaches for home and second keeper; each keeper tells a new home what others own and acknowledges nothing under another home than the owner names. Known: in calm some work across cells is not finished.

--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -5,6 +5,11 @@
 record each intent to hand off before the hand-off's last byte is written. When the owner is lost the home
 raises the item's epoch, which ends what the owner may still begin, and owns it with the history that it has.
 
+In a fleet of several cells home and keepers are of the name's cell, and a member has links to its own cell
+alone. An owner of another cell reaches for two keepers. Nobody waits for its word when that cell changes, so:
+each keeper tells a new home what others own, and acknowledges nothing to an owner that names another home
+than it does itself. What a keeper has acknowledged is then in what it tells.
+
 `Covering` is one member's part. It does no I/O: the host sets `now` and tells what happened, a `Door` carries
 out what is asked for. What it relies on: the frames of a link come in order and whole, or the link ends.
 """
@@ -42,13 +47,15 @@
     Reply,
     Told,
 )
-from .view import View
+from .view import Member, View, place
 
 FINISHED, DEFERRED, MIXED_UP, WRITTEN_OFF = 200, 503, 422, 504
 RERUNNABLE = "rerunnable"
 UNSENT = "unsent"  # the fate of a hand-off that was never let go
 REMEMBERED = 1 / 2  # of the longest expiry: for so long after an item's end its answer is kept
 COME_BACK = 1 / 8  # of the longest expiry: when to come again to one who can't be told what became of it
+RETRY = 1 / 8  # of the longest expiry: when one that could not be reached is tried again
+UNTOLD, UNSURE = -2, -1  # of a keeper: it was not told of the item; it has not said that it recorded it
 RECENT = 1 / 4  # of the longest expiry: so old may the word of a member be that counts as heard
 EACH = 512  # bytes that an item takes beside its bodies
 NOTHING = Asked(b"", b"", [], b"", b"")
@@ -77,7 +84,7 @@
     __slots__ = (
         "key", "mark", "category", "effect", "at", "until", "repeat", "asked", "intents", "epoch", "owner",
         "state", "reply", "keepers", "sure", "running", "main", "waiting", "askers", "clients", "adopted",
-        "let_go", "unnoted", "at_home", "bytes", "stale", "rules",
+        "let_go", "unnoted", "at_home", "bytes", "stale", "rules", "place", "told_home", "granted",
     )  # fmt: skip
 
     def __init__(self, told: Cover, state: State) -> None:
@@ -87,7 +94,7 @@
         self.state = state
         self.rules = told.rules
         self.reply: Reply | None = None
-        # Who was told of it, and how many intents each has recorded; -1: not even the item.
+        # Who was told of it, and how many intents each has recorded; or `UNTOLD`, `UNSURE`.
         self.keepers: dict[str, int] = {}
         self.sure = False  # that it is new has been granted to us
         self.running = False  # the host decides on it
@@ -101,6 +108,10 @@
         self.at_home = ""  # whom we asked, or who acts on it
         self.bytes = len(told.asked.body) + EACH
         self.stale = False  # a record from before we were out of the view for a while
+        self.place = place(told.key)
+        # Across cells. Of an owner: the home that its keepers know of; of a keeper: whom it told of the item.
+        self.told_home = ""
+        self.granted = False  # by us, its home, to its owner
 
     @property
     def may_have_run(self) -> bool:
@@ -111,10 +122,11 @@
         """We act on it, or want to, or wait for it; nobody has said yet that it is new."""
         return not self.sure and self.state in (State.ASKING, State.JOINED, State.OWNING)
 
-    def cover(self, asks: bool) -> Cover:
+    def cover(self, asks: bool, home: str = "") -> Cover:
         return Cover(
             self.key, self.owner, self.epoch, asks, self.mark, self.category, self.effect, self.at,
-            self.until, self.repeat, self.asked, list(self.intents), self.sure, self.rules,
+            self.until, self.repeat, self.asked, list(self.intents), self.sure or self.granted, self.rules,
+            home,
         )  # fmt: skip
 
 
@@ -144,6 +156,16 @@
         """For the log."""
 
 
+class Reach:
+    """The members that an owner of another cell reaches; being asked, it begins to."""
+
+    def __init__(self, covering: Covering) -> None:
+        self.covering = covering
+
+    def __contains__(self, member: str) -> bool:
+        return self.covering._reach(member)
+
+
 class Covering:
     """One member's part of the cover of the whole fleet's work."""
 
@@ -161,6 +183,10 @@
         self.beats: dict[str, tuple[float, Beat]] = {}
         self.links: dict[str, None] = {}
         self.held: list[tuple[str, Cover]] = []  # asked of us before all have told
+        self.reaching: dict[str, None] = {}  # members of other cells to which a link is to come up
+        self.failed: dict[str, float] = {}  # those to which none did, and until when that counts
+        # Recorded here, while its owner, of another cell, names that home and we another one.
+        self.early: dict[tuple[str, bytes], str] = {}
         self.lease_until = -inf
         self.counts: Counter[str] = Counter()
         self.kept_bytes = 0
@@ -175,28 +201,50 @@
         if view.digest == self.view.digest and not (gap and view.members):
             return
         ours = (self.view.members.get(self.me), view.members.get(self.me))
-        if gap or ours[0] != ours[1]:
+        anew = gap or ours[0] != ours[1]
+        if anew:
             # Others may have gone on without us: what we know of their work is old.
             for item in self.items.values():
                 item.stale = item.state is State.KEEPING
-        self.view, self.view_at = view, self.now
-        self.settled = self.settled and not gap
-        self.lately = [*self.lately, view] if self.settled else [view]
+        before, self.view = self.view, view
+        if gap or before.digest_of(before.cell_of(self.me)) != self.digest:
+            self.view_at = self.now
+            self.settled = self.settled and not gap
+            self.lately = [*self.lately, view] if self.settled else [view]
+            if not self.settled and view.cells > 1:
+                # Guards against one that comes just after the cells have changed granting what others keep.
+                self.lately.insert(0, View(view.members.values(), view.cells // 2))
+        self.reaching = {m: None for m in self.reaching if m in view}
+        self.failed = {m: until for m, until in self.failed.items() if m in view}
         for item in list(self.items.values()):
-            self._place(item)
+            if anew or self._moved(item, before):
+                self._place(item)
+        self._agree()
         for member in list(self.links):
-            self.door.say(member, Told(view.digest))
+            cell = view.cell_of(member)
+            if gap or before.digest_of(before.cell_of(member)) != view.digest_of(cell):
+                self.door.say(member, Told(view.digest_of(cell)))
+        self._reach_holders()
         self._perhaps_settled()
 
+    def _moved(self, item: Item, before: View) -> bool:
+        """Something that concerns it has changed since that view."""
+        now, then = self.view.cell_at(item.place), before.cell_at(item.place)
+        changed = before.digest_of(then) != self.view.digest_of(now)
+        return changed or item.owner not in self.view or any(m not in self.view for m in item.keepers)
+
     def up(self, member: str) -> None:
         """There is a link to a member: the first one, or a new one."""
         self.links[member] = None
-        for item in list(self.items.values()):
-            if item.state is State.OWNING and member in item.keepers:
+        self.reaching.pop(member, None)
+        self.failed.pop(member, None)
+        for item in self._about(member):
+            kept = item.keepers.get(member)
+            if kept is not None and (item.state is State.OWNING or kept == UNTOLD):
                 # What was said on the link before may be lost, and it may have taken over meanwhile.
                 self._cover(item, member)
             self._place(item)
-        self.door.say(member, Told(self.view.digest))
+        self.door.say(member, Told(self.view.digest_of(self.view.cell_of(member))))
 
     def down(self, member: str) -> None:
         """The link to a member has ended, or nothing comes over it any more."""
@@ -204,25 +252,110 @@
         self.beats.pop(member, None)
         self.told.pop(member, None)
         self.held = [(who, cover) for who, cover in self.held if who != member]
-        for item in list(self.items.values()):
+        self.early = {one: home for one, home in self.early.items() if one[0] != member}
+        for item in self._about(member):
             item.askers.pop(member, None)
+            if item.told_home == member and item.state is State.KEEPING:
+                item.told_home = ""  # what was said last may be lost
             if item.state is State.OWNING and member in item.keepers:
-                item.keepers[member] = -1
+                item.keepers[member] = UNSURE
                 if item.unnoted is not None:
                     # Guards against telling a client that nothing was done while one that we can't reach
                     # takes it over.
                     self._done(item, Reply(WRITTEN_OFF))
+                elif self._outside(self.me, item):
+                    self._place(item)
             elif item.state is State.DONE and item.at_home == member:
                 item.at_home = ""  # what was said last may be lost
-            elif (item.state is State.KEEPING and item.owner == member) or item.at_home == member:
+            elif item.state is State.KEEPING and item.owner == member:
+                self._place(item, lost=True)
+            elif item.at_home == member:
                 self._place(item)
 
     def unreached(self, member: str) -> None:
         """What `Door.reach` was asked for has failed."""
+        if member in self.links:
+            return
+        self.reaching.pop(member, None)
+        self.failed[member] = self.now + RETRY * self.longest
+        for item in self._about(member):
+            if item.state is State.ASKING and member in item.keepers:
+                self._cover_by_all(item)
+            else:
+                self._place(item)
 
     def needs(self, member: str) -> bool:
         """Something in hand concerns it: the link to it must stay."""
-        return False
+        if not self.settled_now and self.told.get(member) != self.digest and member in self._holders():
+            return True
+        if any(who == member for who, _ in self.held):
+            return True
+        return any(
+            member in item.askers
+            or member in item.keepers
+            or (item.state is State.KEEPING and item.owner == member)
+            or (item.state in (State.ASKING, State.JOINED) and item.at_home == member)
+            for item in self.items.values()
+        )
+
+    def _about(self, member: str) -> list[Item]:
+        """Items that a link to that member may concern."""
+        if self.view.cells == 1:
+            return list(self.items.values())
+        cell, of_cell = self.view.cell_of(member), self.view.cell_at
+        return [
+            item
+            for item in self.items.values()
+            if member in (item.owner, item.at_home)
+            or member in item.keepers
+            or member in item.askers
+            or of_cell(item.place) == cell
+        ]
+
+    def _outside(self, member: str, item: Item) -> bool:
+        """That member is not of the cell whose members keep the item."""
+        view = self.view
+        return view.cells > 1 and view.cell_of(member) != view.cell_at(item.place)
+
+    def _reach(self, member: str) -> bool:
+        """There is a link to a member of another cell, or one is to come up."""
+        if member in self.links or member in self.reaching:
+            return True
+        if member not in self.view or member in self.failed:
+            return False
+        if not self.door.reach(member):
+            self.failed[member] = self.now + RETRY * self.longest
+            return False
+        self.reaching[member] = None
+        return True
+
+    def _reach_holders(self) -> None:
+        """Those of other cells that have to tell us what they know, after a change of the cells."""
+        if self.view.cells > 1 and not self.settled_now:
+            for member in self._holders() - self._cell().keys():
+                if self.told.get(member) != self.digest:
+                    self._reach(member)
+
+    def _holders(self) -> set[str]:
+        """Who has to tell us what it knows before we grant what we are the new home of."""
+        if self.view.cells == 1:
+            return set(self.view.members)
+        cell = self.view.cell_of(self.me)
+        known = set().union(*(self.view.holders(cell, older) for older in self.lately))
+        return {member for member in known if member in self.view}
+
+    def _agree(self) -> None:
+        """Say of records that they are ours now that the view names the home that their owner did."""
+        early, self.early = self.early, {}
+        for (member, key), home in early.items():
+            item = self.items.get(key)
+            if item is None or item.state is not State.KEEPING or item.owner != member:
+                continue
+            now = self.view.home(key)
+            if now == home or not self._outside(member, item):
+                self._covered(member, item.cover(asks=now == self.me, home=home))
+            else:
+                self.early[member, key] = home
 
     @property
     def digest(self) -> int:
@@ -241,12 +374,14 @@
                 for item in list(self.items.values()):
                     if self.view.home(item.key) == member:
                         self._place(item)
+                    elif view == self.digest and item.owner == member:
+                        self._untold(item)
             case Cover():
                 self._covered(member, frame)
             case Find(key, mark):
                 self._find(member, key, mark)
-            case Intend(key, epoch, number, intent):
-                self._intends(member, key, epoch, number, intent)
+            case Intend(key, epoch, number, intent, home):
+                self._intends(member, key, epoch, number, intent, home)
             case Ended(key, epoch, number, fate):
                 item = self.items.get(key)
                 if item and (item.owner, item.epoch) == (member, epoch) and 0 <= number < len(item.intents):
@@ -276,13 +411,21 @@
                 del item.clients[client]
                 self.counts["waited_out"] += 1
                 self.door.answer(item, client, Reply(WRITTEN_OFF))
+        again = [member for member, until in self.failed.items() if until <= self.now]
+        for member in again:
+            del self.failed[member]
+        for member in again:
+            for item in self._about(member):
+                self._place(item)
+        if again:
+            self._reach_holders()
         if not self.settled_now and self.now >= self.view_at + self.longest:
             self._perhaps_settled()
 
     def next_at(self) -> float:
         """When to call `tick` again."""
         settles = inf if self.settled_now else self.view_at + self.longest
-        return min(self.ends[0][0] if self.ends else inf, settles)
+        return min(self.ends[0][0] if self.ends else inf, settles, min(self.failed.values(), default=inf))
 
     # What the host asks.
 
@@ -330,8 +473,9 @@
             self.door.stop(item, number)
             return
         item.waiting[number] = None
+        home = self.view.home(item.key) if self._outside(self.me, item) else ""
         for member in list(item.keepers):
-            self.door.say(member, Intend(item.key, item.epoch, number, item.intents[number]))
+            self.door.say(member, Intend(item.key, item.epoch, number, item.intents[number], home))
         self._let_go(item)
 
     def ended(self, item: Item, number: int, fate: str) -> None:
@@ -358,6 +502,8 @@
         if reply.status == DEFERRED and item.may_have_run and (item.adopted or item.askers):
             # Guards against a deferral for one client of what its lost owner finished for another.
             reply = Reply(WRITTEN_OFF)
+        for member in [m for m, kept in item.keepers.items() if kept == UNTOLD]:
+            del item.keepers[member]
         if reply.status == DEFERRED and item.keepers:
             if all(member in self.links for member in item.keepers):
                 item.unnoted = reply
@@ -424,7 +570,13 @@
     def _seek(self, item: Item) -> None:
         """Ask the home whether it is new; where that can't be reached, whoever would stand in for it."""
         home = self.view.home(item.key)
-        stands_in = next((m.id for m in self.view.ranks(item.key) if m.id in self.links), "")
+        if self._outside(self.me, item):
+            stands_in = next(iter(self._wanted(item)), "")
+            if stands_in and stands_in not in self.links:
+                item.state, item.at_home = State.ASKING, ""  # `up` or `unreached` follows
+                return
+        else:
+            stands_in = next((m.id for m in self.view.ranks(item.key) if m.id in self.links), "")
         item.at_home = ""
         if home == self.me and self.may_decide():
             if self._steady(item.key):
@@ -470,14 +622,40 @@
 
     def _cover(self, item: Item, member: str, asks: bool = False) -> None:
         item.owner = self.me
-        asks = asks or self.view.home(item.key) == member
-        if self.door.say(member, item.cover(asks)):
-            item.keepers[member] = -1
+        home = self.view.home(item.key)
+        outside = self._outside(self.me, item)
+        if self.door.say(member, item.cover(asks or home == member, home if outside else "")):
+            item.keepers[member] = UNSURE
+
+    def _wanted(self, item: Item) -> list[str]:
+        """Who is to record it, home first, of those that can be reached as far as we know."""
+        if not self._outside(self.me, item):
+            return self.view.keepers(item.key, self.me, self.count, self.links)
+        # Guards against the loss of the home before an owner that nobody there waits for has told the next.
+        return self.view.keepers(item.key, self.me, max(2, self.count), Reach(self))
 
     def _cover_by_all(self, item: Item) -> None:
-        for member in self.view.keepers(item.key, self.me, self.count, self.links):
+        wanted = self._wanted(item)
+        if self._outside(self.me, item):
+            home = self.view.home(item.key)
+            if item.told_home != home:
+                # Guards against words under the former home, which its keepers do not acknowledge any more.
+                for member in [m for m in item.keepers if m in self.links]:
+                    self._cover(item, member)
+                item.told_home = home
+            if item.effect != RERUNNABLE and home and home not in wanted:
+                wanted = [home, *wanted]  # nothing is let go without it
+            for member in [m for m in item.keepers if m not in wanted and not self._reach(m)]:
+                del item.keepers[member]
+        else:
+            item.told_home = ""
+        for member in wanted:
             if member not in item.keepers:
+                if member not in self.links:
+                    item.keepers[member] = UNTOLD
                 self._cover(item, member)
+            elif member not in self.links and self._outside(self.me, item):
+                self._reach(member)
 
     def _own(self, item: Item) -> None:
         """Granted to us, who are its home."""
@@ -513,7 +691,7 @@
             return
         if self.view.home(item.key) == self.me and not self._steady(item.key):
             return  # guards against going on while one that took it over under the view before does too
-        alone = item.adopted and not item.keepers and len(self.view.members) > 1
+        alone = item.adopted and not item.keepers and len(self._cell()) > 1
         if alone and item.effect != RERUNNABLE:
             return  # guards against two that each believe they have taken it over
         least = min(item.keepers.values(), default=inf)
@@ -567,7 +745,10 @@
             self._let_go(item)
         elif kept.verdict == MOVED:
             item.keepers.pop(member, None)
-            if item.at_home == member and not item.sure:
+            if item.sure and self._outside(self.me, item):
+                # Guards against going on with one keeper less while a home to come asks that one.
+                item.keepers[member], item.told_home = UNSURE, ""
+            elif item.at_home == member and not item.sure:
                 # Our views differ, and ours may stay behind as long as the arbiter can't be reached.
                 item.at_home = ""
                 if kept.where in self.links:
@@ -602,7 +783,10 @@
     def _done(self, item: Item, reply: Reply) -> None:
         self._tell_keepers(item, reply)
         home = self.view.home(item.key)
-        item.at_home = home if home in item.keepers else ""
+        passed = item.state is State.KEEPING and self._outside(item.owner, item)
+        sent = home in item.keepers and (self.view.cells == 1 or home in self.links)
+        # An owner of another cell tells the home that it sees by itself.
+        item.at_home = home if sent or (passed and item.at_home == home) else ""
         item.keepers.clear()
         item.reply, item.state, item.unnoted = reply, State.DONE, None
         grown = len(reply.body) - len(item.asked.body)
@@ -616,6 +800,8 @@
             self.door.say(member, Answered(item.key, item.epoch, reply))
         for client in clients:
             self.door.answer(item, client, reply)
+        if passed and home != self.me:
+            self._tell_home(item, home)
         if self._free(item):
             self._forget(item)
 
@@ -640,7 +826,12 @@
         unsure = item is not None and item.ungranted
         home = self.view.home(told.key)
         outsider = member not in self.view  # only the home deals with those, and only while it hears them
+        if outsider and item is not None and self._same(member, item, told.home):
+            outsider = False  # as the home does, so do we
         asks = told.asks and (home == self.me or not told.granted)
+        if home != self.me and asks and told.home == self.me and not outsider and (item is None or unsure):
+            self.held.append((member, told))  # its view is ahead of ours
+            return
         if home != self.me and (outsider or (asks and (item is None or unsure))):
             self.door.say(member, Kept(told.key, told.epoch, MOVED, where=home))
             return
@@ -658,7 +849,7 @@
                 return
             self._add(Item(told, State.KEEPING))
             self.counts["kept"] += 1
-            self._say_kept(member, told, granted)
+            self._say_recorded(member, told, granted)
         elif item.mark != told.mark:
             self._say_kept(member, told, OTHER)
         elif item.state is State.DONE:
@@ -667,11 +858,27 @@
             told.epoch > item.epoch or (unsure and told.granted)
         ):
             self._keep(item, told)
-            self._say_kept(member, told, granted)
+            self._say_recorded(member, told, granted)
         else:
             item.askers[member] = None
             self._say_kept(member, told, RUNNING)
 
+    def _same(self, member: str, item: Item, home: str) -> bool:
+        """That member, of another cell, names the home that we do."""
+        return self._outside(member, item) and home == self.view.home(item.key)
+
+    def _say_recorded(self, member: str, told: Cover, verdict: str) -> None:
+        """To the owner of an item, once its home is the same in both views."""
+        item, home = self.items[told.key], self.view.home(told.key)
+        item.granted = self.view.cells > 1 and (item.granted or verdict == NEW)
+        if self._outside(member, item):
+            item.at_home = told.home  # as its owner sees it
+            if told.home != home:
+                self.early[member, told.key] = told.home
+                return
+            item.told_home = item.told_home or home
+        self._say_kept(member, told, verdict)
+
     def _record(self, item: Item | None, told: Cover) -> None:
         """What another member owns, or owned: it goes before what we ourselves have not been granted."""
         if item is None:
@@ -680,6 +887,9 @@
         elif item.ungranted:
             self._keep(item, told)
         elif item.state is State.KEEPING and item.epoch <= told.epoch:
+            other = item.owner != told.owner
+            if item.granted and other and item.epoch == told.epoch and not told.granted:
+                return  # guards against the record of one that was never granted it
             self._merge(item, told)
 
     def _keep(self, item: Item, told: Cover) -> None:
@@ -689,6 +899,9 @@
 
     def _merge(self, item: Item, told: Cover) -> None:
         """The history as both know it: an intent recorded anywhere counts."""
+        if item.owner != told.owner:
+            item.at_home, item.granted = "", False
+        item.granted = self.view.cells > 1 and (item.granted or told.granted)
         item.owner, item.epoch, item.until = told.owner, told.epoch, max(item.until, told.until)
         item.asked, item.stale = told.asked, False
         item.rules = told.rules or item.rules  # those under which its owner, or who was before it, took it
@@ -719,13 +932,17 @@
         where = home if home in self.links or home == self.me else ""
         self.door.say(member, Kept(key, 0, verdict, 0, reply, where))
 
-    def _intends(self, member: str, key: bytes, epoch: int, number: int, intent: Intent) -> None:
+    def _intends(
+        self, member: str, key: bytes, epoch: int, number: int, intent: Intent, home: str = ""
+    ) -> None:
         item = self.items.get(key)
         if item is None:
             return  # what was said of it was turned away, or is over
         if item.state is State.DONE:
             self.door.say(member, Kept(key, epoch, ANSWERED, 0, item.reply))
-        elif member not in self.view and self.view.home(key) != self.me:
+        elif (
+            member not in self.view and self.view.home(key) != self.me and not self._same(member, item, home)
+        ):
             # Its lease has ended, and whoever is home now may have taken it over.
             self.door.say(member, Kept(key, epoch, STALE, where=self.view.home(key)))
         elif item.state is not State.KEEPING or (item.owner, item.epoch) != (member, epoch):
@@ -733,8 +950,10 @@
             self.door.say(member, Kept(key, epoch, STALE))
         elif 0 <= number <= len(item.intents):
             item.intents[number:] = [intent]
-            if self.view.home(key) == self.me and not self._steady(key):
-                self.held.append((member, item.cover(asks=True)))
+            if self._outside(member, item) and home != self.view.home(key):
+                self.early[member, key] = home
+            elif self.view.home(key) == self.me and not self._steady(key):
+                self.held.append((member, item.cover(asks=True, home=home)))
             else:
                 self.door.say(member, Kept(key, epoch, KEPT, number + 1))
 
@@ -760,8 +979,11 @@
 
     # Owners lost, keepers lost, views.
 
-    def _place(self, item: Item) -> None:
-        """After a change of the view or of a link: whoever has to know of an item knows."""
+    def _place(self, item: Item, lost: bool = False) -> None:
+        """After a change of the view or of a link: whoever has to know of an item knows.
+
+        `lost`: the link to its owner has ended.
+        """
         home = self.view.home(item.key)
         if item.state is State.OWNING:
             for member in [m for m in item.keepers if m not in self.view]:
@@ -772,14 +994,24 @@
                 return
             item.sure = item.sure or (home == self.me and self._steady(item.key))
             self._cover_by_all(item)
-            if not item.keepers and not item.sure and home and item.effect == RERUNNABLE:
-                self._uncovered(item, "keepers-lost")
+            if not item.sure and home and item.effect == RERUNNABLE:
+                if not item.keepers:
+                    self._uncovered(item, "keepers-lost")
+                elif home not in item.keepers and self._outside(self.me, item):
+                    self.counts["stood_in"] += 1
+                    item.sure = True
             self._let_go(item)
         elif item.state is State.KEEPING:
-            if item.owner not in self.view and home in self.links:
-                self.door.say(home, item.cover(asks=False))
+            outside = self._outside(item.owner, item)
+            if (item.owner not in self.view or outside) and home in self.links:
+                if not outside or item.told_home != home:
+                    self.door.say(home, item.cover(asks=False))
+                    item.told_home = home if outside else ""
             # A member whose lease has ended but that we, its home, still hear goes on with what it owns.
             elif item.owner not in self.links and self.view.home(item.key, but=item.owner) == self.me:
+                # Nobody waits for the word of an owner of another cell: it is asked for.
+                if not lost and outside and self._reach(item.owner):
+                    return
                 self._take_over(item)
         elif item.state is State.DONE:
             self._tell_home(item, home)
@@ -795,7 +1027,7 @@
         """Guards against a new home taking for new what was answered before it became that."""
         if home in (item.at_home, self.me) or home not in self.links or item.reply is None:
             return
-        if item.owner == self.me or item.owner not in self.links:
+        if item.owner == self.me or item.owner not in self.links or self._outside(item.owner, item):
             item.at_home = home
             over = Over(item.key, item.owner, item.mark, item.category, item.effect, item.until, item.reply)
             self.door.say(home, over)
@@ -839,6 +1071,12 @@
             return
         self._start(item)
 
+    def _untold(self, item: Item) -> None:
+        """Its owner, of another cell, has told us all that it owns, and this was not among it."""
+        ours = self.view.home(item.key) == self.me != item.at_home and item.state is State.KEEPING
+        if ours and self._outside(item.owner, item) and not item.clients and not item.askers:
+            self._forget(item)
+
     def _orphan(self, told: Cover) -> None:
         """Another keeper's record of what a lost member owned; we are its home, or will be in its view."""
         self._record(self.items.get(told.key), told)
@@ -849,14 +1087,21 @@
     def may_decide(self) -> bool:
         """We are in the view that holds, as far as can be known.
 
-        By our lease; past it, while more than half of the members are heard under the same view: guards
+        By our lease; past it, while more than half of our cell are heard under the same view of it: guards
         against losing all cover while the arbiter is gone, and against deciding alone while cut off.
         """
         if self.now < self.lease_until:
             return True
         since = self.now - RECENT * self.longest
-        heard = (beat for member, (at, beat) in self.beats.items() if member in self.view and at > since)
-        return 2 * (1 + sum(beat.view == self.view.digest for beat in heard)) > len(self.view.members)
+        cell = self._cell()
+        if len(cell) == 1 < len(self.view.members):
+            return False  # another cell has its names once its lease has ended
+        heard = (beat for member, (at, beat) in self.beats.items() if member in cell and at > since)
+        return 2 * (1 + sum(beat.view == self.digest for beat in heard)) > len(cell)
+
+    def _cell(self) -> dict[str, Member]:
+        """Those of our cell."""
+        return self.view.of_cell(self.view.cell_of(self.me))
 
     def _steady(self, key: bytes) -> bool:
         """No other member can have granted that name: we were its home all along, or all have told."""
@@ -868,15 +1113,16 @@
             return
         # Also those that we have a link to though their lease has ended: guards against a view without
         # members that live and own, after the arbiter was gone.
-        need = {*self.view.members, *self.links} - {self.me}
-        told = all(self.told.get(member) == self.view.digest for member in need)
+        need = {*self._holders(), *(m for m in self.links if m not in self.view)} - {self.me}
+        told = all(self.told.get(member) == self.digest for member in need)
         if not told and self.now < self.view_at + self.longest:
             return
         self.lately, self.settled = [self.view], True
         held, self.held = self.held, []
         for item in list(self.items.values()):
             if item.state is State.KEEPING:
-                if item.stale and item.owner in self.view and not item.clients:
+                outside = self._outside(item.owner, item)
+                if item.stale and item.owner in self.view and not item.clients and not outside:
                     self._forget(item)  # its owner lives and has not told it to us
                 else:
                     self._place(item)
--- a/starlingwheel/fleet/view.py
+++ b/starlingwheel/fleet/view.py
@@ -68,7 +68,11 @@
 
     def cell(self, key: bytes) -> int:
         """The one whose members keep what has that name: its own, or the next that has members."""
-        return self._next(place(key) % self.cells) if self.cells > 1 else 0
+        return self.cell_at(place(key)) if self.cells > 1 else 0
+
+    def cell_at(self, where: int) -> int:
+        """The same of a name that lies there (`place`)."""
+        return self._next(where % self.cells) if self.cells > 1 else 0
 
     def cell_of(self, member: str) -> int:
         """The one that a member is of, also one that is not in the view."""
--- a/trials/emulated.py
+++ b/trials/emulated.py
@@ -11,15 +11,17 @@
 import heapq
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
 from starlingwheel.fleet.cover import UNSENT, Covering, Item, Word
-from starlingwheel.fleet.frames import Asked, Beat, Cover, Frame, Intent, Reply
+from starlingwheel.fleet.frames import Asked, Beat, Cover, Frame, Intent, Reply, Told
 from starlingwheel.fleet.view import Member, View
 
 EXPIRY, SERVICE, LEASE, SILENCE, BEAT = 2.0, 0.08, 2.0, 0.3, 0.1
+GREETING = 0.3  # seconds within which a link that was reached for comes up, or counts as failed
+REST = 0.5  # seconds without a word about work after which a link between cells that neither side needs ends
 MEMORY = 2.0  # seconds for which upstreams drop repeats of ticketed work
 EFFECTS = ("exclusive", "ticketed", "rerunnable")
 ZONES = ("north", "east", "south")
@@ -61,6 +63,7 @@
         self.ends = ends
         self.open = {end.id: True for end in ends}
         self.heard = {end.id: ends[0].world.now for end in ends}
+        self.used = ends[0].world.now  # when something about work was said last
         self.last = {end.id: 0.0 for end in ends}  # when the last frame to that end arrives
         self.waiting: dict[str, list[Callable[[], None]]] = {end.id: [] for end in ends}
 
@@ -113,6 +116,11 @@
         self.world.send(link, self, copy.deepcopy(frame))
         return True
 
+    def reach(self, member: str) -> bool:
+        until = self.world.now + GREETING
+        self.later(self.world.chance.uniform(0.0005, 0.004), lambda: self.world.call(self, member, until))
+        return member in self.covering.view
+
     def go(self, item: Item, number: int) -> None:
         # A pause may fall between the word and the write.
         asked = item.intents[number].at
@@ -204,14 +212,21 @@
     """A fleet, its links, its arbiter, upstreams and clients, from one seed."""
 
     def __init__(
-        self, seed: int, members: int = 8, kind: Callable[..., Any] = Covering, trace: bytes | None = None
+        self,
+        seed: int,
+        members: int = 8,
+        kind: Callable[..., Any] = Covering,
+        trace: bytes | None = None,
+        cells: int = 1,
     ) -> None:
         self.chance = random.Random(seed)
         self.now, self.count, self.kind, self.trace = 0.0, 0, kind, trace
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.hosts: dict[str, Host] = {}
         self.leases: dict[str, tuple[Member, float]] = {}
+        self.cells = cells
         self.arbiter_down_until, self.last_view = 0.0, -1
+        self.most_links = 0  # of one member, as seen now and then
         self.cut: dict[tuple[str, str], float] = {}
         self.runs: dict[bytes, list[tuple[float, str, int]]] = defaultdict(list)
         self.effects: dict[bytes, str] = {}
@@ -285,6 +300,8 @@
 
     def send(self, link: Link, sender: Host, frame: Frame) -> None:
         self.frames[type(frame).__name__] += 1
+        if not isinstance(frame, Told):
+            link.used = self.now
         if self.trace is not None and getattr(frame, "key", None) == self.trace:
             print(f"{self.now:.4f} {sender.id} -> {link.other(sender).id} {frame}")
         receiver = link.other(sender)
@@ -321,6 +338,7 @@
 
     def _watch_links(self) -> None:
         alive = self.alive()
+        beats: dict[Host, Beat] = {}
         for host in alive:
             if self.now < host.paused_until:
                 continue
@@ -329,27 +347,78 @@
                 speaks = other.alive and self.now >= other.paused_until and link.open[other.id]
                 if speaks and not self._gone(other, host):
                     link.heard[host.id] = self.now
-                    beat = Beat(other.covering.view.digest, not other.covering.may_decide())
+                    beat = beats.get(other)
+                    if beat is None:
+                        beat = beats[other] = Beat(other.covering.digest, not other.covering.may_decide())
                     host.covering.now = self.now
                     host.covering.heard(other.id, beat)
+                    if self._at_rest(link, host, other):
+                        self._close(link, host)
                 elif self.now > link.heard[host.id] + SILENCE:
                     self._close(link, host)
         able = [h for h in alive if self.now >= h.paused_until]
-        for place, one in enumerate(able):
-            for other in able[place + 1 :]:
-                if other.id in one.links or one.id in other.links:
-                    continue
-                if self._gone(one, other) or self._gone(other, one) or self.chance.random() < 0.3:
-                    continue
-                if other.id in one.covering.view and one.id in other.covering.view:
-                    link = Link((one, other))
-                    one.links[other.id] = other.links[one.id] = link
-                    for host, peer in ((one, other), (other, one)):
-                        host.does(lambda h=host, o=peer: h.covering.up(o.id))
+        for one, other in self._pairs(able):
+            if other.id in one.links or one.id in other.links:
+                continue
+            if self._gone(one, other) or self._gone(other, one) or self.chance.random() < 0.3:
+                continue
+            if self._know(one, other):
+                self._connect(one, other)
         for host in able:
+            self.most_links = max(self.most_links, len(host.links))
             if host.covering.next_at() <= self.now:
                 host.does(host.covering.tick)
 
+    def _at_rest(self, link: Link, host: Host, other: Host) -> bool:
+        """A link between cells that neither side needs any more."""
+        view = host.covering.view
+        if view.cells == 1 or view.cell_of(host.id) == view.cell_of(other.id) or self.now < link.used + REST:
+            return False
+        return not (host.covering.needs(other.id) or other.covering.needs(host.id))
+
+    def _pairs(self, able: list[Host]) -> Iterator[tuple[Host, Host]]:
+        """Who keeps a link to whom: all that are of one cell."""
+        if self.cells == 1 and all(host.covering.view.cells == 1 for host in able):
+            for place, one in enumerate(able):
+                for other in able[place + 1 :]:
+                    yield one, other
+            return
+        there = {host.id: host for host in able}
+        for one in able:
+            view = one.covering.view
+            for member in view.of_cell(view.cell_of(one.id)):
+                if member > one.id and member in there:
+                    yield one, there[member]
+
+    def _know(self, one: Host, other: Host) -> bool:
+        """Each is in the other's view, and both have as many cells."""
+        views = one.covering.view, other.covering.view
+        return other.id in views[0] and one.id in views[1] and views[0].cells == views[1].cells
+
+    def _connect(self, one: Host, other: Host) -> None:
+        link = Link((one, other))
+        one.links[other.id] = other.links[one.id] = link
+        for host, peer in ((one, other), (other, one)):
+            host.does(lambda h=host, o=peer: h.covering.up(o.id))
+
+    def call(self, host: Host, member: str, until: float) -> None:
+        """A member reaches for one of another cell."""
+        if member in host.links:
+            return
+        other = self.hosts.get(member)
+        if other is not None and self.now < until:
+            paused = self.now < other.paused_until or host.id in other.links
+            if paused or self._gone(host, other) or self._gone(other, host) or not self._know(host, other):
+                host.later(0.02, lambda: self.call(host, member, until))
+            else:
+                self._connect(host, other)
+            return
+        host.covering.unreached(member)
+
+    def recut(self, cells: int) -> None:
+        """The fleet is cut into so many cells from now on."""
+        self.cells = cells
+
     def _arbitrate(self) -> None:
         if self.now < self.arbiter_down_until:
             return
@@ -367,7 +436,7 @@
             host.covering.lease_until = host.renewed_at + LEASE
         for member in [m for m, (_, until) in self.leases.items() if until <= self.now]:
             del self.leases[member]
-        view = View(member for member, _ in self.leases.values())
+        view = View((member for member, _ in self.leases.values()), self.cells)
         if view.digest == self.last_view:
             return
         self.last_view = view.digest
@@ -381,7 +450,7 @@
     def run(self, host: Host, item: Item, number: int, epoch: int) -> None:
         self.runs[item.key].append((self.now, host.id, epoch))
         known = self.holders.get(item.key)
-        if known is not None and not known & set(self.leases):
+        if known is not None and not any(member in self.leases for member in known):
             self.lost.add(item.key)
         self.holders[item.key] = {host.id, *item.keepers, *(known or ())}
         if not item.keepers and len(host.covering.view.members) != 1:
@@ -432,8 +501,13 @@
 
     # Playing.
 
-    def play(self, seconds: float, rate: float, faults: Timetable, twins: float = 0.05) -> None:
-        """Work for so long, with faults; then what is open comes to its end."""
+    def play(
+        self, seconds: float, rate: float, faults: Timetable, twins: float = 0.05, recuts: Iterable[int] = ()
+    ) -> None:
+        """Work for so long, with faults; then what is open comes to its end.
+
+        `recuts`: into how many cells the fleet is cut, one after another, in equal parts of that time.
+        """
         start = self.now + 1.0
         self.until(start)
         for number in range(int(rate * seconds)):
@@ -451,6 +525,9 @@
                 at = start + self.chance.uniform(0, seconds)
                 lasts = self.chance.uniform(0.05, faults.longest)
                 self.at(at, lambda w=what, t=lasts: getattr(self, "_fault_" + w)(t))
+        for number, cells in enumerate(recuts := list(recuts)):
+            at = start + (number + self.chance.random()) * seconds / len(recuts)
+            self.at(at, lambda c=cells: self.recut(c))
         self.until(start + seconds + 2 * EXPIRY)
 
     def _pair(self) -> list[Host]:
@@ -524,10 +601,12 @@
     kind: Callable[..., Any] = Covering,
     trace: bytes | None = None,
     twins: float = 0.05,
+    cells: int = 1,
+    recuts: Iterable[int] = (),
 ) -> Outcome:
     """One seed; `kind` may be a broken variant that the checks must catch."""
-    world = World(seed, members, kind, trace)
-    world.play(seconds, rate, faults or Timetable(), twins)
+    world = World(seed, members, kind, trace, cells)
+    world.play(seconds, rate, faults or Timetable(), twins, recuts)
     ends = Counter(r.end or "open" for r in world.requests)
     names = list(world.effects)
     counts = {"work": len(names), "finished": world.finished(names), **dict(sorted(ends.items()))}
@@ -535,4 +614,9 @@
     counts |= {"ran uncovered": len(world.uncovered), "of these exclusive, twice": len(again)}
     counts["all lost"] = len(world.lost)
     counts |= {"frames": sum(world.frames.values())} | dict(sorted(world.notes.items()))
+    if cells > 1 or recuts:
+        counts |= {"links, most": world.most_links, "told": world.frames["Told"]}
+        covers = [host.covering for host in world.alive()]
+        for name in ("given_up", "stood_in", "uncovered", "waited_out", "not_sure", "superseded", "held"):
+            counts[name] = sum(cover.counts[name] for cover in covers)
     return Outcome(seed, counts, world.broken())
