Cells: of two that ask at once a second keeper follows the home's grant

Also: what a member never let go is dropped when it records another owner's item, and fates that its host tells later don't touch that record; before, an owner's open intent could be marked as never run.

--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -24,6 +24,7 @@
 
 from .frames import (
     ANSWERED,
+    ASKED,
     FULL,
     KEPT,
     MOVED,
@@ -481,6 +482,8 @@
     def ended(self, item: Item, number: int, fate: str) -> None:
         """A hand-off is known never to have run."""
         item.waiting.pop(number, None)
+        if item.state is State.KEEPING:
+            return  # those recorded are another one's
         if number < len(item.intents):
             item.intents[number].fate = fate
         if item.state is State.OWNING:
@@ -544,6 +547,10 @@
         self._remind(self._over(item), item, None)
         return item
 
+    def _add_kept(self, told: Cover) -> None:
+        item = self._add(Item(told, State.KEEPING))
+        item.granted = self.view.cells > 1 and told.granted
+
     def _waits(self, item: Item, client: Any, until: float) -> None:
         item.clients[client] = until
         self._remind(until, item, client)
@@ -741,8 +748,15 @@
             item.keepers[member] = max(item.keepers[member], kept.upto)
             if kept.verdict == NEW:
                 item.sure, item.state = True, State.OWNING
+                for other in [m for m, known in item.keepers.items() if known == UNTOLD]:
+                    self._cover(item, other)
                 self._start(item)
             self._let_go(item)
+        elif kept.verdict == ASKED:
+            if item.epoch == kept.epoch and member in item.keepers:
+                item.keepers[member] = UNTOLD
+                if item.sure:
+                    self._cover(item, member)
         elif kept.verdict == MOVED:
             item.keepers.pop(member, None)
             if item.sure and self._outside(self.me, item):
@@ -835,7 +849,11 @@
         if home != self.me and (outsider or (asks and (item is None or unsure))):
             self.door.say(member, Kept(told.key, told.epoch, MOVED, where=home))
             return
-        if asks and (item is None or unsure or item.owner == member) and not self._steady(told.key):
+        # Of two that ask at once the home grants it to one, and any other keeper follows.
+        contested = item is not None and self._contested(item, member, told.epoch)
+        instead = contested and told.granted
+        unknown = item is None or unsure or instead or item.owner == member
+        if asks and unknown and not self._steady(told.key):
             # Guards against granting what another home has granted: all have told before long.
             if told.granted:
                 self._record(item, told)  # guards against losing it with its owner meanwhile
@@ -847,7 +865,7 @@
             if self.kept_bytes > self.room:
                 self._say_kept(member, told, FULL)
                 return
-            self._add(Item(told, State.KEEPING))
+            self._add_kept(told)
             self.counts["kept"] += 1
             self._say_recorded(member, told, granted)
         elif item.mark != told.mark:
@@ -855,14 +873,25 @@
         elif item.state is State.DONE:
             self._say_kept(member, told, ANSWERED, item.reply)
         elif (item.state is State.KEEPING and item.owner == member and told.epoch >= item.epoch) or (
-            told.epoch > item.epoch or (unsure and told.granted)
+            told.epoch > item.epoch or (unsure and told.granted) or instead
         ):
+            if instead and not unsure:
+                item.intents.clear()  # none of those was let go
             self._keep(item, told)
             self._say_recorded(member, told, granted)
+        elif contested and home != self.me:
+            self._say_kept(member, told, ASKED)
         else:
             item.askers[member] = None
             self._say_kept(member, told, RUNNING)
 
+    def _contested(self, item: Item, member: str, epoch: int) -> bool:
+        """Another one asks for it as well, and nobody here knows to whom its home has granted it."""
+        if self.view.cells == 1 or item.ungranted:
+            return self.view.cells > 1
+        kept = item.state is State.KEEPING and not item.granted
+        return kept and item.epoch == epoch and item.owner != member
+
     def _same(self, member: str, item: Item, home: str) -> bool:
         """That member, of another cell, names the home that we do."""
         return self._outside(member, item) and home == self.view.home(item.key)
@@ -883,7 +912,7 @@
         """What another member owns, or owned: it goes before what we ourselves have not been granted."""
         if item is None:
             if self.kept_bytes <= self.room:
-                self._add(Item(told, State.KEEPING))
+                self._add_kept(told)
         elif item.ungranted:
             self._keep(item, told)
         elif item.state is State.KEEPING and item.epoch <= told.epoch:
@@ -893,7 +922,11 @@
             self._merge(item, told)
 
     def _keep(self, item: Item, told: Cover) -> None:
+        never = item.ungranted
         self._no_longer_ours(item)
+        if never:
+            # Guards against the fate of what we never let go being taken for that of its owner's hand-offs.
+            item.intents.clear()
         item.state, item.at_home = State.KEEPING, ""
         self._merge(item, told)
 
@@ -945,6 +978,8 @@
         ):
             # Its lease has ended, and whoever is home now may have taken it over.
             self.door.say(member, Kept(key, epoch, STALE, where=self.view.home(key)))
+        elif self._contested(item, member, epoch) and self.view.home(key) != self.me:
+            pass  # it has been told
         elif item.state is not State.KEEPING or (item.owner, item.epoch) != (member, epoch):
             item.askers[member] = None
             self.door.say(member, Kept(key, epoch, STALE))
--- a/starlingwheel/fleet/frames.py
+++ b/starlingwheel/fleet/frames.py
@@ -183,6 +183,7 @@
 STALE = "stale"  # another one has taken it over from you
 MOVED = "moved"  # its home is elsewhere as seen from here; `where` names it
 UNKNOWN = "unknown"  # to `Find`: nothing is known of it here
+ASKED = "asked"  # another one asks for it too: cover it again here once its home has granted it
 FULL = "full"  # no room to keep it
 NOTED = "noted"  # the final answer is recorded
 
