--- a/starlingwheel/net/fleet/hosting.py
+++ b/starlingwheel/net/fleet/hosting.py
@@ -164,7 +164,9 @@
         self.following.doubt()
         lapsed = not self.covering.may_decide() or self.following.uneasy
         word = self.following.word() if worded or lapsed else None
-        return Beat(self.covering.digest, lapsed, word, not self.covering.needs(member))
+        view = self.covering.view
+        outside = view.cell_of(member) != view.cell_of(self.me)  # in our own cell links stay, whatever is said
+        return Beat(self.covering.digest, lapsed, word, outside and not self.covering.needs(member))
 
     # The door of the cover.
 
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -201,13 +201,15 @@
         categories: list[dict[str, Any]] = CATEGORIES,
         ahead: dict[int, float] | None = None,
         memory: dict[int, float] | None = None,
+        cell_size: int = 0,
     ) -> None:
-        """`fleet`: with arbiter, links and cover; `lease`: of a member, seconds.
+        """`fleet`: with arbiter, links and cover; `lease`: of a member, seconds; `cell_size`: as configured.
 
         `ahead`: by sidecar, how much its clock is; `memory`: by sidecar, its limit where it is smaller, MB.
         """
         self.categories = categories
         self.seed, self.root, self.fleet, self.lease = seed, root, fleet, lease
+        self.cell_size = cell_size
         self.arbiter = Arbiter()
         self.chance = random.Random(seed)
         self.kept = tempfile.TemporaryDirectory(prefix="trial-", dir=MEMORY)
@@ -239,6 +241,8 @@
             "keep": str(self.folder),
             "cover": {"categories": [c["name"] for c in CATEGORIES]},
         }
+        if self.cell_size:
+            part["cell_size"] = self.cell_size
         return {"fleet": part}
 
     def between(self, one: Sidecar, other: Sidecar) -> tuple[Way, Way]:
