Cells: the second keeper of a cell of one is of the next cell, which has its names once it is lost

The only member of a cell was the only keeper: with its loss a repeat ran again though owner and arbiter were well.

--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -276,7 +276,7 @@
                     # Guards against telling a client that nothing was done while one that we can't reach
                     # takes it over.
                     self._done(item, Reply(WRITTEN_OFF))
-                elif self._outside(self.me, item):
+                elif self._far(item):
                     self._place(item)
             elif item.state is State.DONE and item.at_home == member:
                 item.at_home = ""  # what was said last may be lost
@@ -330,6 +330,10 @@
         view = self.view
         return view.cells > 1 and view.cell_of(member) != view.cell_at(item.place)
 
+    def _far(self, item: Item) -> bool:
+        """Its keepers, if it is ours, are not of our cell."""
+        return self._outside(self.me, item) or bool(self.view.beside(self.view.cell_at(item.place)))
+
     def _reach(self, member: str) -> bool:
         """There is a link to a member of another cell, or one is to come up."""
         if member in self.links or member in self.reaching:
@@ -651,8 +655,10 @@
 
     def _wanted(self, item: Item) -> list[str]:
         """Who is to record it, home first, of those that can be reached as far as we know."""
-        if not self._outside(self.me, item):
+        if not self._far(item):
             return self.view.keepers(item.key, self.me, self.count, self.links)
+        if not self._outside(self.me, item):
+            return self.view.keepers(item.key, self.me, self.count, Reach(self))
         # Guards against the loss of the home before an owner that nobody there waits for has told the next.
         return self.view.keepers(item.key, self.me, max(2, self.count), Reach(self))
 
@@ -671,12 +677,14 @@
                 del item.keepers[member]
         else:
             item.told_home = ""
+            for member in [m for m, kept in item.keepers.items() if kept == UNTOLD and m not in wanted]:
+                del item.keepers[member]
         for member in wanted:
             if member not in item.keepers:
                 if member not in self.links:
                     item.keepers[member] = UNTOLD
                 self._cover(item, member)
-            elif member not in self.links and self._outside(self.me, item):
+            elif member not in self.links and self._far(item):
                 self._reach(member)
 
     def _own(self, item: Item) -> None:
@@ -713,7 +721,7 @@
             return
         if self.view.home(item.key) == self.me and not self._steady(item.key):
             return  # guards against going on while one that took it over under the view before does too
-        alone = item.adopted and not item.keepers and len(self._cell()) > 1
+        alone = item.adopted and not item.keepers and len(self.view.members) > 1
         if alone and item.effect != RERUNNABLE:
             return  # guards against two that each believe they have taken it over
         least = min(item.keepers.values(), default=inf)
--- a/starlingwheel/fleet/view.py
+++ b/starlingwheel/fleet/view.py
@@ -86,6 +86,11 @@
     def of_cell(self, cell: int) -> dict[str, Member]:
         return self.groups.get(cell, {})
 
+    def beside(self, cell: int) -> dict[str, Member]:
+        """Those of the next cell, where that one has a single member: they have its names after its loss."""
+        alone = self.cells > 1 and len(self.of_cell(cell)) == 1 < len(self.groups)
+        return self.of_cell(self._next((cell + 1) % self.cells)) if alone else {}
+
     def span(self, cell: int) -> Iterator[int]:
         """The cells whose names that one keeps: itself, and the empty ones before it."""
         yield cell
@@ -116,18 +121,24 @@
         fewer = min(self.cells, older.cells)
         ours = {one % fewer for one in self.span(cell)}
         then = (one + fewer * turn for one in ours for turn in range(older.cells // fewer))
-        return {member for one in {older._next(c) for c in then} for member in older.of_cell(one)}
+        kept = {older._next(c) for c in then}
+        return {member for one in kept for member in (*older.of_cell(one), *older.beside(one))}
 
     # Homes and keepers.
 
     def ranks(self, key: bytes) -> list[Member]:
-        """All members of its cell, best first, by rendezvous hashing: one that goes moves only its own."""
+        """All members of its cell, best first, by rendezvous hashing: one that goes moves only its own.
+
+        After the only member of a cell come those who have its names if it is lost.
+        """
         mark = hashlib.blake2b(key, digest_size=8).digest()
 
         def turn(member: Member) -> bytes:
             return hashlib.blake2b(member.id.encode(), digest_size=8, key=mark).digest()
 
-        return sorted(self.of_cell(self.cell(key)).values(), key=turn, reverse=True)
+        cell = self.cell(key)
+        order = sorted(self.of_cell(cell).values(), key=turn, reverse=True)
+        return order + sorted(self.beside(cell).values(), key=turn, reverse=True)
 
     def home(self, key: bytes, but: str = "") -> str:
         """The one member that says whether a name is new; with `but`, the one if that is lost."""
