--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -56,6 +56,7 @@
 REMEMBERED = 1 / 2  # of the longest expiry: for so long after an item's end its answer is kept
 COME_BACK = 1 / 8  # of the longest expiry: when to come again to one who can't be told what became of it
 RETRY = 1 / 8  # of the longest expiry: when one that could not be reached is tried again
+FEW = 4  # members of a cell that may all have come at once
 UNTOLD, UNSURE = -2, -1  # of a keeper: it was not told of the item; it has not said that it recorded it
 RECENT = 1 / 4  # of the longest expiry: so old may the word of a member be that counts as heard
 EACH = 512  # bytes that an item takes beside its bodies
@@ -213,8 +214,7 @@
             self.settled = self.settled and not gap
             self.lately = [*self.lately, view] if self.settled else [view]
             if not self.settled and view.cells > 1:
-                # Guards against one that comes just after the cells have changed granting what others keep.
-                self.lately.insert(0, View(view.members.values(), view.cells // 2))
+                self.lately = [*self._supposed(view), view]
         self.reaching = {m: None for m in self.reaching if m in view}
         self.failed = {m: until for m, until in self.failed.items() if m in view}
         for item in list(self.items.values()):
@@ -228,6 +228,18 @@
         self._reach_holders()
         self._perhaps_settled()
 
+    def _supposed(self, view: View) -> list[View]:
+        """What may have held just before the first view that we know.
+
+        Guards against one that has just come granting what others keep: of a cell that was split since, or
+        of the next one, which had our cell's names as long as it was empty.
+        """
+        cell = self._cell()
+        members = [list(view.members.values())]
+        if len(cell) <= FEW:
+            members.append([m for m in view.members.values() if m.id not in cell])
+        return [View(some, cells) for some in members for cells in (view.cells // 2, view.cells)]
+
     def _moved(self, item: Item, before: View) -> bool:
         """Something that concerns it has changed since that view."""
         now, then = self.view.cell_at(item.place), before.cell_at(item.place)
@@ -264,7 +276,7 @@
                     # Guards against telling a client that nothing was done while one that we can't reach
                     # takes it over.
                     self._done(item, Reply(WRITTEN_OFF))
-                elif self._outside(self.me, item):
+                elif self._far(item):
                     self._place(item)
             elif item.state is State.DONE and item.at_home == member:
                 item.at_home = ""  # what was said last may be lost
@@ -318,6 +330,10 @@
         view = self.view
         return view.cells > 1 and view.cell_of(member) != view.cell_at(item.place)
 
+    def _far(self, item: Item) -> bool:
+        """Its keepers, if it is ours, are not of our cell."""
+        return self._outside(self.me, item) or bool(self.view.beside(self.view.cell_at(item.place)))
+
     def _reach(self, member: str) -> bool:
         """There is a link to a member of another cell, or one is to come up."""
         if member in self.links or member in self.reaching:
@@ -333,7 +349,7 @@
     def _reach_holders(self) -> None:
         """Those of other cells that have to tell us what they know, after a change of the cells."""
         if self.view.cells > 1 and not self.settled_now:
-            for member in self._holders() - self._cell().keys():
+            for member in sorted(self._holders() - self._cell().keys()):
                 if self.told.get(member) != self.digest:
                     self._reach(member)
 
@@ -617,9 +633,12 @@
         """Its home can't be reached, and a view to come may name another.
 
         While we hold a lease that is soon. Without one service goes on, but not for what may be in hand
-        already, nor with so few members in reach that we may be the ones cut off.
+        already, nor with so few members in reach that we may be the ones cut off; nor of a name that
+        another cell keeps, of which we hear too few.
         """
         known = bool(self.view.members)
+        if known and self._outside(self.me, item):
+            return True
         return item.repeat or (known and (self.now < self.lease_until or not self.may_decide()))
 
     def _stand_in(self, item: Item, member: str) -> None:
@@ -636,8 +655,10 @@
 
     def _wanted(self, item: Item) -> list[str]:
         """Who is to record it, home first, of those that can be reached as far as we know."""
-        if not self._outside(self.me, item):
+        if not self._far(item):
             return self.view.keepers(item.key, self.me, self.count, self.links)
+        if not self._outside(self.me, item):
+            return self.view.keepers(item.key, self.me, self.count, Reach(self))
         # Guards against the loss of the home before an owner that nobody there waits for has told the next.
         return self.view.keepers(item.key, self.me, max(2, self.count), Reach(self))
 
@@ -656,12 +677,14 @@
                 del item.keepers[member]
         else:
             item.told_home = ""
+            for member in [m for m, kept in item.keepers.items() if kept == UNTOLD and m not in wanted]:
+                del item.keepers[member]
         for member in wanted:
             if member not in item.keepers:
                 if member not in self.links:
                     item.keepers[member] = UNTOLD
                 self._cover(item, member)
-            elif member not in self.links and self._outside(self.me, item):
+            elif member not in self.links and self._far(item):
                 self._reach(member)
 
     def _own(self, item: Item) -> None:
@@ -698,7 +721,7 @@
             return
         if self.view.home(item.key) == self.me and not self._steady(item.key):
             return  # guards against going on while one that took it over under the view before does too
-        alone = item.adopted and not item.keepers and len(self._cell()) > 1
+        alone = item.adopted and not item.keepers and len(self.view.members) > 1
         if alone and item.effect != RERUNNABLE:
             return  # guards against two that each believe they have taken it over
         least = min(item.keepers.values(), default=inf)
@@ -857,6 +880,9 @@
             # Guards against granting what another home has granted: all have told before long.
             if told.granted:
                 self._record(item, told)  # guards against losing it with its owner meanwhile
+                kept = self.items.get(told.key)
+                if kept is not None and kept.owner == member and self._outside(member, kept):
+                    kept.at_home = told.home
             self.held.append((member, told))
             return
         # Where its view is ahead of ours we keep it, and are its home soon.
