--- a/standins/arbiter.py
+++ b/standins/arbiter.py
@@ -10,8 +10,11 @@
 import asyncio
 import base64
 import json
+from bisect import bisect_left
+from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from operator import itemgetter
 from typing import Any
 
 from .http1 import RESET, Request, Response, Server
@@ -85,6 +88,7 @@
         self.stale: dict[bytes, Entry] | None = None  # what serializable reads see
         self.calls: list[tuple[float, str]] = []
         self.written: list[tuple[float, str, bytes]] = []  # every value there ever was, and when
+        self.told: Counter[str] = Counter()  # lines of all watches with events, and these
         self.watches: set[asyncio.Task[Any]] = set()
         self.chore: asyncio.Task[None] | None = None
 
@@ -335,9 +339,12 @@
                 if at <= self.compacted:
                     yield line(canceled=True, compact_revision=str(self.compacted))
                     return
-                new = [(r, kind, e) for r, kind, e in self.events if r >= at and within(e.key, first, end)]
+                since = bisect_left(self.events, at, key=itemgetter(0))
+                new = [(r, kind, e) for r, kind, e in self.events[since:] if within(e.key, first, end)]
                 at = self.revision + 1
                 if new:
+                    self.told["lines"] += 1
+                    self.told["events"] += len(new)
                     told = [{"kv": self._pair(e)} | sparse(type="" if k == "PUT" else k) for _, k, e in new]
                     yield line(events=told)
                 changed = self.changed
--- a/standins/http1.py
+++ b/standins/http1.py
@@ -55,6 +55,7 @@
         self.handler, self.host, self.port = handler, host, 0
         self.server: asyncio.Server | None = None
         self.open: dict[asyncio.StreamWriter, asyncio.Task[Any]] = {}
+        self.ends: Callable[[asyncio.StreamWriter], None] = lambda writer: None  # told before one closes
 
     @property
     def address(self) -> str:
@@ -81,6 +82,8 @@
         server, self.server = self.server, None
         server.close()
         for writer, task in list(self.open.items()):
+            self.ends(writer)
+            del self.open[writer]
             abort(writer)
             task.cancel()
         await asyncio.sleep(0)
@@ -92,7 +95,8 @@
         except (OSError, h11.ProtocolError, asyncio.CancelledError):
             pass
         finally:
-            self.open.pop(writer, None)
+            if self.open.pop(writer, None) is not None:
+                self.ends(writer)
             with contextlib.suppress(OSError, RuntimeError):
                 writer.close()
 
--- /dev/null
+++ b/trials/scale/member.py
@@ -0,0 +1,332 @@
+"""A hollow member: the program's `Fleet` and `Hosting`, and a deciding part that answers after a while."""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import random
+import socket
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from typing import Any
+
+import msgspec
+
+from starlingwheel.decisions.terms import Terms
+from starlingwheel.fleet.cover import DEFERRED, FINISHED, RERUNNABLE, UNSENT, WRITTEN_OFF, Item, Word
+from starlingwheel.fleet.frames import Asked, Cover, Intent, Reply
+from starlingwheel.fleet.part import CoverPart, FleetPart
+from starlingwheel.net.actor import Actor, Coroutine
+from starlingwheel.net.fleet.hosting import Hosting
+from starlingwheel.net.fleet.links import Refused
+from starlingwheel.net.fleet.mail import Lapsed
+from starlingwheel.net.fleet.policy import Ruling
+from starlingwheel.net.fleet.start import Fleet, Who
+from starlingwheel.net.lifecycle.config import Config, terms_of
+from starlingwheel.net.mail import CLOSE
+from starlingwheel.net.memory.buffers import Pool
+from starlingwheel.net.wire.client import BACKLOG
+
+from .metered import Meter, MeteredLoop
+
+SERVICE = 0.005  # seconds that a hand-off takes
+ROOM = 24 << 20  # bytes kept for others: an eighth of a sidecar's usual limit
+LOOKED = 0.02  # seconds between looks whether a member is ready
+
+
+@dataclass(slots=True, eq=False)
+class Handed:
+    """One hand-off of an item, to an upstream that is none."""
+
+    item: Item
+    at: float
+
+
+@dataclass(slots=True, eq=False)
+class Begin:
+    """To the module: a client comes with work of that name."""
+
+    name: bytes
+
+
+@dataclass(slots=True, eq=False)
+class Dropped:
+    """To the module: that hand-off is not to be made."""
+
+    handed: Handed
+
+
+class Deciding(Hosting, Actor):
+    """The module of a hollow member: one hand-off an item, answered after its service time."""
+
+    lasting = True
+    at_once = 64
+
+    def __init__(
+        self,
+        loop: MeteredLoop,
+        me: str,
+        part: FleetPart,
+        lapsed: Callable[[Lapsed], None],
+        ruling: Ruling,
+        terms: Terms,
+        log: Callable[..., None],
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.frames: Counter[str] = Counter()
+        self.category = next(c for c in terms.categories if c.name == part.cover.categories[-1])
+        shortest = min(c.due_time for c in terms.categories)
+        longest = max(c.expiry for c in terms.categories)
+        self.services: list[tuple[float, int, Handed]] = []
+        self.number, self.alarm_at = 0, inf
+        self.covered_s = 0.0  # seconds from a client's coming to its hand-off's release, all together
+        self.host(loop, me, part, ruling, lapsed, lambda: self, (shortest, longest), ROOM, log)
+        Actor.__init__(self, loop)
+
+    def run(self) -> Coroutine[None]:
+        while True:
+            mail = yield min(self.services[0][0] if self.services else inf, self.alarm_at)
+            now = self.loop.now()
+            if mail is None:
+                if self.alarm_at <= now:
+                    self.alarm_at = inf
+                self.covering.now = self.following.now = now
+                self.tick()
+                self._serve(now)
+            elif self.hosted(mail, now):
+                if (frame := getattr(mail, "frame", None)) is not None:
+                    self.frames[type(frame).__name__] += 1
+            elif isinstance(mail, Begin):
+                self._begin(mail.name, now)
+            elif isinstance(mail, Dropped):
+                self._drop(mail.handed)
+            self.alarm_at = min(self.alarm_at, self.next_at(now))
+
+    def _begin(self, name: bytes, now: float) -> None:
+        if self.following.doubt():
+            self.counts["in_doubt"] += 1
+            return
+        category, effect = self.category, self.category.effect.value
+        asked = Asked(b"POST", b"/" + name, [], b"", name)
+        key = category.name.encode() + b"\0" + name
+        mark = hashlib.blake2b(name, digest_size=8).digest()
+        until = now + category.expiry
+        told = Cover(
+            key, self.me, 0, False, mark, category.name, effect, now, until, False, asked, [], rules=category
+        )
+        word, item = self.covering.begin(told, object(), until)
+        self.counts[word.value] += 1
+        if word is Word.RUN:
+            self._hand(item, now)
+
+    def _hand(self, item: Item, now: float) -> None:
+        self.hold(Handed(item, now), item, Intent("u0", "", 0, now))
+
+    def _serve(self, now: float) -> None:
+        while self.services and self.services[0][0] <= now:
+            handed = heapq.heappop(self.services)[2]
+            if self.unhold(handed) is not None:
+                self._answered(handed.item, Reply(FINISHED))
+
+    def _drop(self, handed: Handed) -> None:
+        gate = self.unhold(handed)
+        if gate is not None:
+            self.covering.ended(gate.item, gate.number, UNSENT)
+            self._answered(handed.item, Reply(DEFERRED))
+
+    def _answered(self, item: Item, reply: Reply) -> None:
+        given = self.covering.answered(item, reply)
+        self.counts["later" if given is None else f"answered_{given.status}"] += 1
+
+    # The deciding part.
+
+    def decide(self, item: Item) -> None:
+        if item.effect != RERUNNABLE and item.may_have_run:
+            self._answered(item, Reply(WRITTEN_OFF))
+        else:
+            self._hand(item, self.loop.now())
+
+    def answer(self, item: Item, client: Any, reply: Reply) -> None:
+        self.counts[f"told_{reply.status}"] += 1
+
+    def released(self, errand: Handed) -> None:
+        now = self.loop.now()
+        self.covered_s += now - errand.at
+        self.counts["released"] += 1
+        self.number += 1
+        heapq.heappush(self.services, (now + SERVICE, self.number, errand))
+
+    def dropped(self, errand: Handed) -> None:
+        self.post(Dropped(errand))
+
+    def cover_by(self, part: CoverPart) -> None:
+        self.covering.count = part.keepers
+
+    def retuned(self, terms: Terms) -> None:
+        self.counts["retuned"] += 1
+
+    def share(self, shares: Any, back: Any) -> None:
+        """What a plan for zones says: there is nothing here that it concerns."""
+
+
+class Work(Actor):
+    """Clients of one member: so many named work items a second, at drawn moments."""
+
+    def __init__(self, loop: MeteredLoop, module: Deciding, rate: float, chance: random.Random) -> None:
+        self.module, self.rate, self.chance = module, rate, chance
+        super().__init__(loop)
+
+    def run(self) -> Coroutine[None]:
+        at = self.loop.now()
+        while True:
+            at += self.chance.expovariate(self.rate)
+            while self.loop.now() < at:
+                yield at
+            self.module.post(Begin(f"{self.chance.getrandbits(64):x}".encode()))
+
+
+class Member:
+    """One hollow member, from its start to its end; the same name and address as often as it is started."""
+
+    def __init__(
+        self, loop: MeteredLoop, pool: Pool, name: str, host: str, port: int, told: dict[str, Any]
+    ) -> None:
+        self.loop, self.pool, self.name, self.host, self.port = loop, pool, name, host, port
+        settings = told["settings"]
+        self.config = Config(f"{host}:1", f"{host}:1", settings, name=name, seed=f"{told['seed']}-{name}")
+        self.terms = terms_of(self.config, "scale")
+        fleet = told["fleet"] | {"listen": f"{host}:{port}", "advertise": ""}
+        self.part = msgspec.convert(fleet, FleetPart)
+        self.chance = random.Random(f"{told['seed']}-{name}")
+        self.meter = Meter()
+        self.fleet: Fleet | None = None
+        self.work: Work | None = None
+        self.side: dict[str, int] = {}  # by name, where links are cut
+        self.started = self.ready_s = 0.0
+
+    def log(self, event: str, **fields: Any) -> None:
+        """What a sidecar would write is counted."""
+        if self.fleet is not None:
+            self.fleet.module.counts[f"log.{event}"] += 1
+
+    def enter(self) -> None:
+        """Listen, and enter at the arbiter; links and watch begin with `join`."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((self.host, self.port))
+        sock.listen(BACKLOG)
+        loop, part, terms = self.loop, self.part, self.terms
+        who = Who(self.name, terms.zone, self.config.seed)
+        counting = Counting(loop, self.meter)
+
+        def ruling(me: str) -> Ruling:
+            return Ruling(self.config, part, me, loop.now(), lambda: self.terms, self.retune, self.log)
+
+        def module(me: str, ruling: Ruling, lapsed: Callable[[Lapsed], None]) -> Deciding:
+            return Deciding(loop, me, part, lapsed, ruling, terms, self.log)
+
+        with counting:
+            self.fleet = fleet = Fleet(loop, self.pool, self.log, part, sock, who, ruling, module)
+        self.actors = [
+            fleet.module, fleet.lessee, fleet.onlooker, fleet.clerk, fleet.scribe, fleet.links, fleet.asker,
+        ]  # fmt: skip
+        for actor in self.actors:
+            actor.meter = self.meter
+        self.named, fleet.links.named = fleet.links.named, self._named
+        self.started, self.ready_s = loop.now(), 0.0
+        fleet.module.begin()
+        fleet.lessee.begin()
+
+    def join(self) -> None:
+        fleet = self.fleet
+        assert fleet is not None
+        self.started = self.loop.now()
+        fleet.ruling.following.begin()
+        for actor in (fleet.links, fleet.onlooker, fleet.clerk, fleet.scribe, fleet.asker):
+            actor.begin()
+
+    def kill(self) -> None:
+        """As a process ends: its sockets close, nothing is said."""
+        assert self.fleet is not None
+        self.set_work(0.0)
+        mine = [a for a in self.loop.watched.values() if self.loop._meter(a) is self.meter]
+        sock = self.fleet.links.sock
+        fleet, self.fleet = self.fleet, None
+        for actor in {*mine, *self.actors}:
+            actor.lasting = False
+            actor.ended = True
+            actor.mailbox.clear()
+        fleet.links.lost = lambda *_: None  # guards against one that has ended knocking at others
+        self.loop.forget(sock.fileno())
+        sock.close()
+        for actor in {*mine, *self.actors}:
+            actor.coroutine.close()
+            if getattr(actor, "stream", None) is not None:
+                actor.hang_up()
+
+    def retune(self, terms: Terms) -> None:
+        self.terms = terms
+
+    def set_work(self, rate: float) -> None:
+        if self.work is not None:
+            self.work.ended = True
+            self.work.coroutine.close()
+            self.work = None
+        if rate and self.fleet is not None:
+            self.work = Work(self.loop, self.fleet.module, rate, self.chance)
+            self.work.meter = self.meter
+            self.work.begin()
+
+    # A cut of links.
+
+    def _named(self, link: Any, hello: Any) -> str:
+        member = self.named(link, hello)
+        if self._cut_from(member):
+            raise Refused("cut")
+        return member
+
+    def _cut_from(self, member: str) -> bool:
+        other = self.side.get(member.rpartition(".")[0], 0)
+        return bool(self.side) and other != self.side.get(self.name, 0)
+
+    def cut(self, side: dict[str, int]) -> None:
+        """Links between the sides end, and none comes up; empty: all may again."""
+        self.side = side
+        if self.fleet is not None:
+            for member, link in list(self.fleet.links.links.items()):
+                if self._cut_from(member):
+                    link.post(CLOSE)
+
+    # What there is to see.
+
+    @property
+    def wanted(self) -> set[str]:
+        """Members that a link is kept with."""
+        view = self.fleet.links.view
+        peers = getattr(view, "peers", None)
+        wanted = set(view.members if peers is None else peers(self.fleet.me)) - {self.fleet.me}
+        if self.side:
+            wanted = {m for m in wanted if not self._cut_from(m)}
+        return wanted
+
+    @property
+    def ready(self) -> bool:
+        fleet = self.fleet
+        if fleet is None or not fleet.joined or not fleet.module.covering.settled_now:
+            return False
+        return self.wanted <= fleet.links.links.keys()
+
+
+class Counting:
+    """While a fleet is made: what watches a socket then belongs to its meter."""
+
+    def __init__(self, loop: MeteredLoop, meter: Meter) -> None:
+        self.loop, self.meter = loop, meter
+
+    def __enter__(self) -> None:
+        self.before, self.loop.nobody = self.loop.nobody, self.meter
+
+    def __exit__(self, *_: object) -> None:
+        self.loop.nobody = self.before
