--- a/starlingwheel/net/fleet/hosting.py
+++ b/starlingwheel/net/fleet/hosting.py
@@ -165,7 +165,9 @@
         lapsed = not self.covering.may_decide() or self.following.uneasy
         word = self.following.word() if worded or lapsed else None
         view = self.covering.view
-        outside = view.cell_of(member) != view.cell_of(self.me)  # in our own cell links stay, whatever is said
+        outside = view.cell_of(member) != view.cell_of(
+            self.me
+        )  # in our own cell links stay, whatever is said
         return Beat(self.covering.digest, lapsed, word, outside and not self.covering.needs(member))
 
     # The door of the cover.
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -11,6 +11,7 @@
 from starlingwheel.fleet.policy import Following, Kept, Word
 from starlingwheel.fleet.records import Records
 from starlingwheel.fleet.view import Member, View
+from starlingwheel.net.fleet import arbiter as client
 from starlingwheel.net.fleet import links as under_test
 from starlingwheel.net.fleet.links import Links, framed
 from starlingwheel.net.fleet.mail import Framed, LinkDown, LinkUp, Reach, Say, Strike, Unreached, Viewed
@@ -590,3 +591,57 @@
     assert one.doubt() == "alone"
     other.now = one.now
     assert other.lately(members, 8) == []
+
+
+# What the arbiter tells of members and cells.
+
+
+def onlooker(told):
+    loop = Loop(lambda actor, error: None)
+    one = client.Onlooker(
+        loop, ["127.0.0.1:1"], LEASE, None, lambda *a, **k: None, None, "f", tell=told.append
+    )
+    one.revision = 1
+    return one
+
+
+def event(key, value, revision, type_="PUT"):
+    pair = client.Pair(client.b64(f"/f/{key}"), client.b64(msgspec.json.encode(value)))
+    pair.create_revision = pair.mod_revision = str(revision)
+    return client.Event(pair, type_)
+
+
+def test_views_come_in_the_order_of_changes_of_members_and_of_cells():
+    told = []
+    one = onlooker(told)
+    a, b, c = (Member(f"n{i}.00", f"n{i}", "") for i in range(3))
+    one._seen(
+        client.Seen(
+            events=[
+                event("members/n0.00", a, 2),
+                event("cells", {"count": 2}, 3),
+                event("members/n1.00", b, 4),
+                event("zones/said/n1.00", {"at": 1.0, "zones": {}}, 4),
+                # One transaction: a member and the cells in one revision are one change.
+                event("members/n2.00", c, 5),
+                event("cells", {"count": 4}, 5),
+                event("cells", None, 6, "DELETE"),
+            ]
+        )
+    )
+    views = [(len(m.view.members), m.view.cells) for m in told if isinstance(m, Viewed)]
+    assert views == [(1, 1), (1, 2), (2, 2), (3, 4), (3, 1)]
+    assert len({m.view.digest for m in told if isinstance(m, Viewed)}) == 5
+    one.loop.close()
+
+
+@pytest.mark.parametrize("value", [None, 3, {}, {"count": 3}, {"count": 0}, {"count": 1 << 20}])
+def test_cells_that_nobody_can_read_leave_those_that_were(value):
+    told = []
+    one = onlooker(told)
+    member = Member("n0.00", "n0", "")
+    one._seen(client.Seen(events=[event("members/n0.00", member, 2), event("cells", {"count": 4}, 3)]))
+    one._seen(client.Seen(events=[event("cells", value, 4)]))
+    views = [m.view.cells for m in told if isinstance(m, Viewed)]
+    assert views[-1] == 4
+    one.loop.close()
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import inspect
 import json
 import sys
 from pathlib import Path
@@ -31,10 +32,15 @@
     parser.add_argument("--root", type=Path, default=ROOT, help="another checkout whose program is played")
     parser.add_argument("--alone", action="store_true", help="without a fleet: each sidecar by itself")
     parser.add_argument("--sidecars", type=int, help="processes of the program")
+    parser.add_argument("--cell-size", type=int, help="members of a cell, as fleet.cell_size")
     given = parser.parse_args()
+    if given.cell_size and "cell_size" not in inspect.signature(TRIALS[given.trial]).parameters:
+        parser.error(f"{given.trial} is not played with cells")
     kept = True
     for seed in range(given.seed, given.seed + given.seeds):
         more = {"sidecars": given.sidecars} if given.sidecars else {}
+        if given.cell_size:
+            more["cell_size"] = given.cell_size
         trial = TRIALS[given.trial](seed, root=given.root, fleet=not given.alone, **more)
         try:
             verdict = asyncio.run(trial)
--- a/trials/loss.py
+++ b/trials/loss.py
@@ -16,9 +16,10 @@
     fleet: bool = True,
     rate: float = 200.0,
     seconds: float = 2.0,
+    cell_size: int = 0,
 ) -> Verdict:
     """Exclusive work for all; one sidecar is killed in the middle."""
-    async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
+    async with Rig(seed, sidecars, root=root, fleet=fleet, cell_size=cell_size) as rig:
         sending = asyncio.create_task(rig.clients.send(rate, seconds, {"buy": 1.0}))
         await asyncio.sleep(seconds / 2)
         # Guards against a verdict on nothing: the one with the most in hand.
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+from base64 import b64encode
 from pathlib import Path
 from typing import Any
 
@@ -172,6 +173,15 @@
     def alive(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
+    async def sees_cells(self, members: int, cells: int) -> bool:
+        """A view of so many, cut so, and links to all of its own cell."""
+        with contextlib.suppress(Broken, TimeoutError):
+            _, told = await self.told("GET", "/_fleet")
+            cut = told["cells"]
+            linked = set(cut["members"]) <= {*told["links"], told["member"]}
+            return (cut["fleet_members"], cut["count"]) == (members, cells) and linked
+        return False
+
     def sees(self, members: int) -> bool:
         lines = self.logged("view", "link.up", "link.down")
         views = [line for line in lines if line["event"] == "view"]
@@ -245,6 +255,14 @@
             part["cell_size"] = self.cell_size
         return {"fleet": part}
 
+    @property
+    def cells(self) -> int:
+        """Into how many the fleet is to be cut when all are in."""
+        count = 1
+        while self.cell_size and len(self.sidecars) > count * self.cell_size:
+            count *= 2
+        return count
+
     def between(self, one: Sidecar, other: Sidecar) -> tuple[Way, Way]:
         """The ways of the link between two sidecars: from the first to the second, and back.
 
@@ -289,6 +307,11 @@
             await upstream.server.begin()
         if self.fleet:
             await self.arbiter.begin()
+        if self.cells > 1:
+            entry = {"key": b64encode(b"/trial/cells").decode()}
+            self.arbiter._put(
+                entry | {"value": b64encode(json.dumps({"count": self.cells}).encode()).decode()}
+            )
         for sidecar in self.sidecars:
             await sidecar.prepare()
         for sidecar in self.sidecars:
@@ -303,11 +326,15 @@
         return "\n".join(f"{s.name}: {s.paths['log'].read_text()[-1500:]}" for s in self.sidecars)
 
     async def met(self, members: int) -> None:
-        """All that are alive have a view of so many members and a link to each of them."""
+        """All that are alive have a view of so many members and a link to each of their cell."""
         until = asyncio.get_running_loop().time() + START
         alive = [s for s in self.sidecars if s.alive]
         while asyncio.get_running_loop().time() < until:
-            if all(s.sees(members) for s in alive):
+            if self.cell_size:
+                seen = [await s.sees_cells(members, self.cells) for s in alive]
+            else:
+                seen = [s.sees(members) for s in alive]
+            if all(seen):
                 return
             await asyncio.sleep(0.05)
         raise RuntimeError(f"no view of {members}: " + self.told())
--- a/trials/storm.py
+++ b/trials/storm.py
@@ -17,18 +17,30 @@
 
 
 async def losses(
-    seed: int, sidecars: int = 8, root: Path = ROOT, fleet: bool = True, rate: float = 120.0, count: int = 30
+    seed: int,
+    sidecars: int = 8,
+    root: Path = ROOT,
+    fleet: bool = True,
+    rate: float = 120.0,
+    count: int = 30,
+    cell_size: int = 0,
 ) -> Verdict:
     """Processes killed and stopped, one at a time, each back before the next."""
-    return await _play(seed, sidecars, root, fleet, rate, count, LOSSES, every=0.9, longest=0.6)
+    return await _play(seed, sidecars, root, fleet, rate, count, LOSSES, 0.9, 0.6, cell_size)
 
 
 async def storm(
-    seed: int, sidecars: int = 8, root: Path = ROOT, fleet: bool = True, rate: float = 120.0, count: int = 40
+    seed: int,
+    sidecars: int = 8,
+    root: Path = ROOT,
+    fleet: bool = True,
+    rate: float = 120.0,
+    count: int = 40,
+    cell_size: int = 0,
 ) -> Verdict:
     """Everything, and several things at once."""
     kinds = LOSSES | LINKS | ARBITER
-    return await _play(seed, sidecars, root, fleet, rate, count, kinds, every=0.4, longest=1.5)
+    return await _play(seed, sidecars, root, fleet, rate, count, kinds, 0.4, 1.5, cell_size)
 
 
 async def _play(
@@ -41,8 +53,9 @@
     kinds: dict[str, float],
     every: float,
     longest: float,
+    cell_size: int,
 ) -> Verdict:
-    async with Rig(seed, sidecars, root=root, fleet=fleet) as rig:
+    async with Rig(seed, sidecars, root=root, fleet=fleet, cell_size=cell_size) as rig:
         (rig.folder / "start").write_text(f"{time.time()}\n")
         player = Player(rig)
         sending = asyncio.create_task(rig.clients.send(rate, count * every, MIX, twins=0.05))
