--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -235,10 +235,12 @@
         of the next one, which had our cell's names as long as it was empty.
         """
         cell = self._cell()
-        members = [list(view.members.values())]
+        counts = [view.cells // 2] if self.now < view.cut_at + self.longest else []
+        supposed = [View(view.members.values(), count) for count in counts]
         if len(cell) <= FEW:
-            members.append([m for m in view.members.values() if m.id not in cell])
-        return [View(some, cells) for some in members for cells in (view.cells // 2, view.cells)]
+            others = [m for m in view.members.values() if m.id not in cell]
+            supposed += [View(others, count) for count in (*counts, view.cells)]
+        return supposed
 
     def _moved(self, item: Item, before: View) -> bool:
         """Something that concerns it has changed since that view."""
--- a/starlingwheel/fleet/records.py
+++ b/starlingwheel/fleet/records.py
@@ -98,9 +98,10 @@
 
 
 class Cut(msgspec.Struct, frozen=True):
-    """Into how many cells the fleet is cut: a power of two."""
+    """Into how many cells the fleet is cut: a power of two. `at`: seconds on the wall clock."""
 
     count: int
+    at: float = 0.0
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -144,6 +145,7 @@
         self.revision = 0
         self.cells_before = cells
         self.cells = 1  # into how many the fleet is cut; 0: not known
+        self.cut_at = 0.0
         self.cells_mod = 0
         self.cells_spoilt = False  # nobody can read it
         self.members: dict[str, Member] = {}
@@ -167,7 +169,7 @@
 
     def view(self) -> View:
         """Who is in. Empty while nobody here knows into how many cells the fleet is cut."""
-        return View(self.members.values(), self.cells) if self.cells else View()
+        return View(self.members.values(), self.cells, self.cut_at) if self.cells else View()
 
     def put(self, key: str, entry: Entry) -> str:
         """Take over one entry; the reason if it can't be read."""
@@ -211,10 +213,10 @@
         # Guards against taking what can't be read for one cell: homes would be others than everybody else's.
         self.cells = self.cells if self.revision else self.cells_before
         self.cells_mod, self.cells_spoilt = entry.mod, True
-        count = msgspec.json.decode(entry.value, type=Cut).count
-        if not 1 <= count <= MOST_CELLS or count & (count - 1):
-            raise ValueError(f"{count} cells")
-        self.cells, self.cells_spoilt = count, False
+        cut = msgspec.json.decode(entry.value, type=Cut)
+        if not 1 <= cut.count <= MOST_CELLS or cut.count & (cut.count - 1):
+            raise ValueError(f"{cut.count} cells")
+        self.cells, self.cut_at, self.cells_spoilt = cut.count, cut.at, False
 
     def erase(self, key: str) -> None:
         if key.startswith(MEMBERS):
--- a/starlingwheel/fleet/view.py
+++ b/starlingwheel/fleet/view.py
@@ -47,10 +47,10 @@
 
 
 class View:
-    def __init__(self, members: Iterable[Member] = (), cells: int = 1) -> None:
-        """`cells`: how many, a power of two."""
+    def __init__(self, members: Iterable[Member] = (), cells: int = 1, cut_at: float = 0.0) -> None:
+        """`cells`: how many, a power of two; `cut_at`: when that was decided, seconds on the wall clock."""
         self.members = {member.id: member for member in sorted(members, key=lambda m: m.id)}
-        self.cells = cells
+        self.cells, self.cut_at = cells, cut_at
         lines = [f"{m.id} {m.term}" for m in self.members.values()]
         self.digest = digest(lines if cells == 1 else [*lines, f"cells {cells}"])
         self.best: dict[bytes, list[str]] = {}  # of the names asked for lately, the first two
--- a/trials/emulated.py
+++ b/trials/emulated.py
@@ -224,7 +224,7 @@
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.hosts: dict[str, Host] = {}
         self.leases: dict[str, tuple[Member, float]] = {}
-        self.cells = cells
+        self.cells, self.cut_at = cells, -EXPIRY
         self.arbiter_down_until, self.last_view = 0.0, -1
         self.most_links = 0  # of one member, as seen now and then
         self.cut: dict[tuple[str, str], float] = {}
@@ -417,7 +417,7 @@
 
     def recut(self, cells: int) -> None:
         """The fleet is cut into so many cells from now on."""
-        self.cells = cells
+        self.cells, self.cut_at = cells, self.now
 
     def _arbitrate(self) -> None:
         if self.now < self.arbiter_down_until:
@@ -436,7 +436,7 @@
             host.covering.lease_until = host.renewed_at + LEASE
         for member in [m for m, (_, until) in self.leases.items() if until <= self.now]:
             del self.leases[member]
-        view = View((member for member, _ in self.leases.values()), self.cells)
+        view = View((member for member, _ in self.leases.values()), self.cells, self.cut_at)
         if view.digest == self.last_view:
             return
         self.last_view = view.digest
