--- a/trials/broken.py
+++ b/trials/broken.py
@@ -9,6 +9,7 @@
 from starlingwheel.fleet.frames import KEPT, Intent, Kept
 from starlingwheel.fleet.policy import Following
 from starlingwheel.fleet.records import Txn
+from starlingwheel.fleet.view import Member, View, member_place
 from starlingwheel.fleet.zones import Planning
 
 
@@ -26,7 +27,9 @@
 class NoEpoch(Covering):
     """A keeper goes on granting intents of an owner that it has taken over from."""
 
-    def _intends(self, member: str, key: bytes, epoch: int, number: int, intent: Intent) -> None:
+    def _intends(
+        self, member: str, key: bytes, epoch: int, number: int, intent: Intent, home: str = ""
+    ) -> None:
         item = self.items.get(key)
         if item is not None and item.state is State.KEEPING:
             item.intents[number:] = [intent]
@@ -62,6 +65,46 @@
 VARIANTS = [NoIntent, NoEpoch, NoTelling, LeaseTrusted, Forgetful]
 
 
+class Lagging(View):
+    """It names homes as before the cells changed."""
+
+    def __init__(self, view: View, cells: int) -> None:
+        super().__init__(view.members.values(), view.cells, view.cut_at)
+        self.old = View(view.members.values(), cells)
+
+    def ranks(self, key: bytes) -> list[Member]:
+        return self.old.ranks(key)
+
+
+class OldCells(Covering):
+    """Half of the members take a name's home from the cells that were."""
+
+    def viewed(self, view: View, gap: bool) -> None:
+        lags = self.view.members and view.cells != self.view.cells and member_place(self.me) >> 8 & 1
+        super().viewed(Lagging(view, self.view.cells) if lags else view, gap)
+
+
+class HomeAlone(Covering):
+    """An owner of another cell waits for the home, not for the keeper that would follow it."""
+
+    def _let_go(self, item: Item) -> None:
+        keepers, home = item.keepers, self.view.home(item.key)
+        if self._outside(self.me, item) and home in keepers:
+            item.keepers = {home: keepers[home]}
+        super()._let_go(item)
+        item.keepers = keepers
+
+
+class Unheard(Covering):
+    """A keeper acknowledges what an owner of another cell hands on under whatever home that one names."""
+
+    def _outside(self, member: str, item: Item) -> bool:
+        return member == self.me and super()._outside(member, item)
+
+
+CELL_VARIANTS = [OldCells, HomeAlone, Unheard]
+
+
 class NoBinding(Following):
     """A yes binds until the switch time only: then it is taken for dropped."""
 
--- a/trials/model.py
+++ b/trials/model.py
@@ -2,7 +2,8 @@
 
 States are copied and told apart by their text; what is bounded is what may go wrong (`Bounds`), no order.
 Messages of one link come in order or not at all, everything else in any order: words of the arbiter, ends of
-links, writes of hand-offs, answers of upstreams, clients that come again.
+links, links that come up, writes of hand-offs, answers of upstreams, clients that come again, changes of the
+cells.
 """
 
 from __future__ import annotations
@@ -31,6 +32,11 @@
     again: int = 1
     twins: int = 0
     states: int = 60_000  # explored at most
+    members: tuple[str, ...] = MEMBERS
+    cells: int = 1
+    recuts: int = 0  # one cell into two, or two into one
+    misses: int = 0  # a link that is reached for does not come up, though its member lives
+    rests: int = 0  # a link between cells that neither side needs ends
 
 
 class Client:
@@ -58,25 +64,36 @@
     clients: list[Client] = field(default_factory=list)
     homes: dict[str, str] = field(default_factory=dict)  # which client waits where: by its number
     left: dict[str, int] = field(default_factory=dict)
-    view: View = field(default_factory=View)
-    told_view: dict[str, int] = field(default_factory=dict)
+    views: list[View] = field(default_factory=list)  # one after another
+    told_view: dict[str, int] = field(default_factory=dict)  # which of them each has seen last
+    reaching: set[tuple[str, str]] = field(default_factory=set)
+    last: str = ""
+
+    @property
+    def view(self) -> View:
+        return self.views[-1]
 
     def begin(self, bounds: Bounds) -> Model:
-        members = [Member(name, name, "", name) for name in MEMBERS]
-        self.view = View(members)
-        self.left = {name: getattr(bounds, name) for name in ("crashes", "cuts", "again", "twins")}
-        for name in MEMBERS:
+        members = [Member(name, name, "", name) for name in bounds.members]
+        self.views, self.last = [View(members, bounds.cells)], bounds.members[-1]
+        bounded = ("crashes", "cuts", "again", "twins", "recuts", "misses", "rests")
+        self.left = {name: getattr(bounds, name) for name in bounded}
+        for name in bounds.members:
             self.covers[name] = self.kind(name, EXPIRY, 1, 1 << 20, ModelDoor(self, name), 0.0)
             self.covers[name].lease_until = EXPIRY
-        for one in MEMBERS:
-            for other in MEMBERS:
+            self.told_view[name] = 0
+        for one in bounds.members:
+            for other in bounds.members:
                 if one != other:
                     self.queues[one, other] = deque()
-                    self.links.add((one, other))
-        for name in MEMBERS:
+                    if self._peers(one, other):
+                        self.links.add((one, other))
+        for name in bounds.members:
             self.covers[name].viewed(self.view, True)
         for one, other in sorted(self.links):
             self.covers[one].up(other)
+        while self.reaching:
+            self.do(("reaches", *min(self.reaching)))
         while any(self.queues.values()):
             for way in self.queues:
                 if self.queues[way]:
@@ -94,10 +111,11 @@
         for place in range(len(self.running)):
             yield ("finishes", str(place))
         if not self.clients:
-            yield ("asks", "a")
+            yield ("asks", next(iter(self.covers)))
             return
+        yield from self._link_events()
         for name in self.covers:
-            if self.told_view.get(name, 0) != self.view.digest and self.told_view:
+            if self.told_view[name] < len(self.views) - 1:
                 yield ("views", name)
             if self.left["crashes"] and len(self.covers) > 2:
                 yield ("crashes", name)
@@ -109,8 +127,43 @@
         if lost and self.left["again"] and self.clients[-1].end not in (200, 504):
             for name in self.covers:
                 yield ("asks", name)
-        if self.left["twins"] and "c" in self.covers:
-            yield ("twin", "c")
+        if self.left["twins"] and self.last in self.covers:
+            yield ("twin", self.last)
+        if self.left["recuts"]:
+            yield ("recuts",)
+
+    def _link_events(self) -> Iterator[Event]:
+        for one, other in sorted(self.reaching):
+            if other not in self.covers or self._may_link(one, other):
+                yield ("reaches", one, other)
+            if other in self.covers and self.left["misses"]:
+                yield ("misses", one, other)
+        for one, other in sorted(self.queues):
+            if one >= other or one not in self.covers or other not in self.covers:
+                continue
+            if (one, other) not in self.reaching and self._peers(one, other) and self._may_link(one, other):
+                yield ("links", one, other)
+            rests = self.left["rests"] and (one, other) in self.links and not self._peers(one, other)
+            if rests and not (self.covers[one].needs(other) or self.covers[other].needs(one)):
+                yield ("rests", one, other)
+
+    def _peers(self, one: str, other: str) -> bool:
+        """They are of one cell, as one of them sees it: they keep a link."""
+        seen = {self.views[self.told_view[name]] for name in (one, other) if name in self.told_view}
+        return any(view.cell_of(one) == view.cell_of(other) for view in seen or {self.view})
+
+    def _may_link(self, one: str, other: str) -> bool:
+        """Nothing is left of a link before, and both know as many cells."""
+        ways = (one, other), (other, one)
+        left = any(way in self.links or self.queues[way] for way in ways)
+        views = [self.views[self.told_view[name]] for name in (one, other)]
+        return not left and views[0].cells == views[1].cells and other in views[0] and one in views[1]
+
+    def _link(self, one: str, other: str) -> None:
+        self.links |= {(one, other), (other, one)}
+        for name, peer in ((one, other), (other, one)):
+            self.reaching.discard((name, peer))
+            self.covers[name].up(peer)
 
     def do(self, event: Event) -> None:
         match event:
@@ -137,8 +190,24 @@
                 self.left["twins"] -= 1
                 self._ask(name, repeat=False)
             case ("views", name):
-                self.told_view[name] = self.view.digest
-                self.covers[name].viewed(self.view, False)
+                self.told_view[name] += 1
+                self.covers[name].viewed(self.views[self.told_view[name]], False)
+            case ("recuts",):
+                self.left["recuts"] -= 1
+                self.views.append(View(self.view.members.values(), 1 if self.view.cells == 2 else 2))
+            case ("reaches", one, other) if other in self.covers:
+                self._link(one, other)
+            case ("links", one, other):
+                self._link(one, other)
+            case ("reaches" | "misses" as what, one, other):
+                self.left["misses"] -= what == "misses"
+                self.reaching.discard((one, other))
+                self.covers[one].unreached(other)
+            case ("rests", one, other):
+                # One side ends it, the other hears of that in order.
+                self.left["rests"] -= 1
+                self.queues[one, other].append("end")
+                self._closed(one, other)
             case ("crashes", name):
                 self.left["crashes"] -= 1
                 del self.covers[name]
@@ -147,8 +216,10 @@
                     if one == name:
                         self.links.discard((one, other))
                         self.queues[one, other].append("end")
-                self.view = View(m for m in self.view.members.values() if m.id in self.covers)
-                self.told_view = {n: self.told_view.get(n, 0) for n in self.covers} or {"": 0}
+                self.reaching = {way for way in self.reaching if way[0] != name}
+                left = (m for m in self.view.members.values() if m.id in self.covers)
+                self.views.append(View(left, self.view.cells))
+                self.told_view = {n: self.told_view[n] for n in self.covers}
             case ("cuts", one, other):
                 # Both sides find out by silence, each by itself; nothing in between arrives.
                 self.left["cuts"] -= 1
@@ -203,15 +274,17 @@
                     (
                         i.state, i.owner, i.epoch, i.intents, i.keepers, i.sure, i.running, sorted(i.waiting),
                         sorted(i.askers), [c.number for c in i.clients], i.at_home, i.adopted, i.let_go,
-                        i.stale, i.reply, i.main and i.main.number, i.unnoted,
+                        i.stale, i.reply, i.main and i.main.number, i.unnoted, i.told_home, i.granted,
                     )
                     for i in cover.items.values()
                 ],
+                list(cover.reaching), list(cover.failed), cover.early,
             )
             for name, cover in self.covers.items()
         ]  # fmt: skip
         rest = (self.queues, sorted(self.links), sorted(self.writes), self.running, self.runs, self.clients)
-        return repr((items, rest, self.left, self.told_view, self.view.digest))
+        views = [view.digest for view in self.views]
+        return repr((items, rest, self.left, self.told_view, views, sorted(self.reaching)))
 
     def broken(self) -> str:
         if self.effect == "exclusive" and self.runs > 1:
@@ -223,6 +296,10 @@
     def __init__(self, model: Model, name: str) -> None:
         self.model, self.name = model, name
 
+    def reach(self, member: str) -> bool:
+        self.model.reaching.add((self.name, member))
+        return True
+
     def say(self, member: str, frame: Frame) -> bool:
         if (self.name, member) not in self.model.links:
             return False
@@ -260,7 +337,7 @@
     while waiting:
         model, way = waiting.popleft()
         for event in list(model.events()):
-            after = copy.deepcopy(model)
+            after = copy.deepcopy(model, {id(view): view for view in model.views})
             after.do(event)
             if fault := after.broken():
                 return Explored(len(seen), False, [(fault, [*way, event])])
