--- a/starlingwheel/fleet/frames.py
+++ b/starlingwheel/fleet/frames.py
@@ -12,8 +12,9 @@
 from ..decisions.terms import Category
 from .policy import Word
 
-VERSION = 1
+VERSION = 2
 LONGEST = 1 << 18  # bytes of one frame: a body and an answer are 64 KiB at most
+RELAYED = 64  # words of others in one answer, at most
 
 
 class Asked(msgspec.Struct, array_like=True, frozen=True):
@@ -46,21 +47,29 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    """`cells`: how many its view has; two that differ have no link."""
+
     fleet: str
     version: int
     member: str
+    cells: int = 1
 
 
 class Beat(msgspec.Struct, array_like=True, tag=2, frozen=True):
-    """Said when nothing else is: alive, under that view; `lapsed`: not sure of its lease."""
+    """Said when nothing else is: alive, under that view of its cell; `lapsed`: not sure of its lease.
+
+    `word`: only where it may be needed, as whoever `asks` says. `idle`: nothing in hand here needs this link.
+    """
 
     view: int
     lapsed: bool
     word: Word | None = None
+    idle: bool = False
+    asks: bool = False
 
 
 class Told(msgspec.Struct, array_like=True, tag=3, frozen=True):
-    """All that concerns you under that view has been said; nothing more is granted under an older one."""
+    """All that concerns you under that view of your cell has been said; nothing is granted under an older."""
 
     view: int
 
@@ -70,6 +79,7 @@
 
     `granted`: its owner has been told before that it is new, perhaps by a home that is lost. `rules`: its
     category as it was when the work item was taken, which it keeps whatever the fleet's policy becomes.
+    `home`: as its owner sees it, where the owner is of another cell.
     """
 
     key: bytes
@@ -86,6 +96,7 @@
     intents: list[Intent]
     granted: bool = False
     rules: Category | None = None
+    home: str = ""
 
 
 class Find(msgspec.Struct, array_like=True, tag=5, frozen=True):
@@ -96,10 +107,13 @@
 
 
 class Intend(msgspec.Struct, array_like=True, tag=6, frozen=True):
+    """`home`: as with `Cover`."""
+
     key: bytes
     epoch: int
     number: int
     intent: Intent
+    home: str = ""
 
 
 class Ended(msgspec.Struct, array_like=True, tag=7, frozen=True):
@@ -149,7 +163,10 @@
 
 
 class Says(msgspec.Struct, array_like=True, tag=12, frozen=True):
+    """Our word, and what we have heard lately over our links: each as old as it says."""
+
     word: Word
+    others: list[Word] = []
 
 
 class Want(msgspec.Struct, array_like=True, tag=13, frozen=True):
@@ -162,6 +179,10 @@
     decision: bytes
 
 
+class Rest(msgspec.Struct, array_like=True, tag=15, frozen=True):
+    """The last word on a link that neither side needs: what is said to it from now on is not read."""
+
+
 # What `Kept.verdict` says.
 NEW = "new"  # nobody else acts on it: you do
 KEPT = "kept"  # recorded; who else acts is not known here
@@ -171,8 +192,9 @@
 STALE = "stale"  # another one has taken it over from you
 MOVED = "moved"  # its home is elsewhere as seen from here; `where` names it
 UNKNOWN = "unknown"  # to `Find`: nothing is known of it here
+ASKED = "asked"  # another one asks for it too: cover it again here once its home has granted it
 FULL = "full"  # no room to keep it
 NOTED = "noted"  # the final answer is recorded
 
 About = Cover | Find | Intend | Ended | Answered | Kept | Over
-Frame = Hello | Beat | Told | About | Which | Says | Want | Given
+Frame = Hello | Beat | Told | About | Which | Says | Want | Given | Rest
--- a/starlingwheel/net/fleet/hosting.py
+++ b/starlingwheel/net/fleet/hosting.py
@@ -17,7 +17,7 @@
 from ..loop import Loop
 from ..mail import CLOSE
 from .links import framed
-from .mail import WARY, Framed, Lapsed, LinkDown, LinkUp, Recorded, Renewed, Say, Viewed
+from .mail import WARY, Framed, Lapsed, LinkDown, LinkUp, Recorded, Renewed, Say, Unreached, Viewed
 from .zones import Zoning
 
 if TYPE_CHECKING:
@@ -60,6 +60,7 @@
         now, (shortest, longest) = loop.now(), times
         self.zoning = Zoning(me, float(part.lease_s), part.zones, shortest, now, runner, log)
         self.links: dict[str, Any] = {}
+        self.reaching: Callable[[str], None] = lambda member: None  # has a link to it come up
         self.gates: dict[Any, Gate] = {}
         self.errands: dict[tuple[Item, int], Any] = {}
         self.covering = Covering(me, longest, part.cover.keepers, room, self, now)
@@ -106,6 +107,7 @@
                 self.covering.heard(member, frame)
             case Recorded(records, gap):
                 self.following.recorded(records, gap)
+                self._wary()
                 self.zoning.recorded(records, now)
             case LinkUp(member, link):
                 self.links[member] = link
@@ -115,7 +117,13 @@
                     del self.links[member]
                     self.covering.down(member)
             case Viewed(view, gap):
-                self.log("view", members=len(view.members), digest=view.digest, ours=self.me in view)
+                self.log(
+                    "view",
+                    members=len(view.members),
+                    cells=view.cells,
+                    digest=view.digest,
+                    ours=self.me in view,
+                )
                 if self.me in self.covering.view and self.me not in view:
                     self.lapsed(Lapsed())
                 if gap:
@@ -123,9 +131,12 @@
                     for link in self.links.values():
                         link.post(CLOSE)
                 self.covering.viewed(view, gap)
+            case Unreached(member):
+                self.covering.unreached(member)
             case Renewed(until, entered):
                 self.covering.lease_until = until
                 self.following.renewed(until, entered)
+                self._wary()
             case _:
                 return False
         return True
@@ -133,21 +144,31 @@
     def tick(self) -> None:
         """Something may be due."""
         self.following.doubt()
+        self._wary()
+        self.covering.tick()
+
+    def _wary(self) -> None:
+        """Guards against doubt until the next beat, which says no word while nobody needs it."""
         if self.following.uneasy:
             for link in self.links.values():
                 link.post(WARY)
-        self.covering.tick()
 
     def next_at(self, now: float) -> float:
         """When to call `tick`, whatever comes."""
         at = self.following.next_at()
         return min(self.covering.next_at(), at if at > now else inf)
 
-    def beat(self) -> Beat:
+    def beat(self, member: str, worded: bool) -> Beat:
+        """What to say to a member. `worded`: it may need our word on the policy."""
         self.covering.now = self.following.now = self.loop.now()
         self.following.doubt()
         lapsed = not self.covering.may_decide() or self.following.uneasy
-        return Beat(self.covering.view.digest, lapsed, self.following.word())
+        word = self.following.word() if worded or lapsed else None
+        view = self.covering.view
+        outside = view.cell_of(member) != view.cell_of(
+            self.me
+        )  # in our own cell links stay, whatever is said
+        return Beat(self.covering.digest, lapsed, word, outside and not self.covering.needs(member))
 
     # The door of the cover.
 
@@ -158,6 +179,10 @@
         link.post(Say(framed(frame)))
         return True
 
+    def reach(self, member: str) -> bool:
+        self.reaching(member)
+        return member in self.covering.view
+
     def go(self, item: Item, number: int) -> None:
         if (errand := self.errands.get((item, number))) is not None:
             self.gates[errand].open = True
--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -22,7 +22,7 @@
 from .arbiter import Clerk, Lessee, Onlooker, Scribe
 from .hosting import Hosting
 from .links import Links
-from .mail import WAKE, Lapsed, Recorded, Strike, Viewed
+from .mail import WAKE, Lapsed, Reach, Recorded, Strike, Viewed
 from .policy import Asker, Ruling
 
 if TYPE_CHECKING:
@@ -75,6 +75,7 @@
         self.scribe = Scribe(*given, due=self._due, lease_id=lambda: self.lessee.held)
         hello = Hello(part.name, VERSION, self.me)
         self.links = Links(loop, sock, hello, self._tell, self.module.beat, self.ruling.says, log, chance)
+        self.module.reaching = lambda member: self.links.post(Reach(member))
         self.asker = Asker(self.links, self.ruling.following, self.onlooker, chance, float(part.lease_s))
 
     @property
@@ -132,12 +133,20 @@
     def told(self) -> dict[str, Any]:
         """For operators: who is in, who is heard, what is covered, and why not."""
         covering, now = self.module.covering, self.loop.now()
+        view = covering.view
+        ours = view.of_cell(view.cell_of(self.me))
         return {
             "member": self.me,
             "in_view": self.me in covering.view,
             "lease_s": round(max(0.0, covering.lease_until - now), 3),
             "settled": covering.settled_now,
-            "view": [msgspec.structs.asdict(member) for member in covering.view.members.values()],
+            "cells": {
+                "count": view.cells,
+                "ours": view.cell_of(self.me),
+                "members": list(ours),
+                "fleet_members": len(view.members),
+            },
+            "view": [msgspec.structs.asdict(member) for member in ours.values()],
             "links": sorted(covering.links),
             "items": Counter(item.state.value for item in covering.items.values()),
             "kept_bytes": covering.kept_bytes,
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import inspect
 import json
 import sys
 from pathlib import Path
@@ -34,12 +35,17 @@
     parser.add_argument("--sidecars", type=int, help="processes of the program")
     parser.add_argument("--rates", help="of `added`: calls a second, separated by commas")
     parser.add_argument("--service", type=float, help="of `added`: an upstream's time, seconds (default: 0)")
+    parser.add_argument("--cell-size", type=int, help="members of a cell, as fleet.cell_size")
     given = parser.parse_args()
+    if given.cell_size and "cell_size" not in inspect.signature(TRIALS[given.trial]).parameters:
+        parser.error(f"{given.trial} is not played with cells")
     kept = True
     for seed in range(given.seed, given.seed + given.seeds):
         more = {"sidecars": given.sidecars} if given.sidecars else {}
         more |= {"rates": [float(rate) for rate in given.rates.split(",")]} if given.rates else {}
         more |= {"service": given.service} if given.service is not None else {}
+        if given.cell_size:
+            more["cell_size"] = given.cell_size
         trial = TRIALS[given.trial](seed, root=given.root, fleet=not given.alone, **more)
         try:
             verdict = asyncio.run(trial)
