Scale run: links begin at a pace, highest id first; a real one's counts socket by socket

All links at once came to no rest at 200 members on one machine: each that comes up is beaten ten times a second for two seconds (Told counts as a word about work), links fell silent and were called again. In order of ids nobody calls one that does not listen yet.

--- a/trials/scale/__main__.py
+++ b/trials/scale/__main__.py
@@ -16,7 +16,7 @@
 from typing import Any, TextIO
 
 from .limits import ALONE, REAL, Plan, planned
-from .run import LEASE, PHASES, Given, Run, Stuck
+from .run import LEASE, PACE, PHASES, Given, Run, Stuck
 
 
 def sizes(text: str) -> list[int]:
@@ -53,6 +53,7 @@
     )
     parser.add_argument("--every", type=float, default=4.0, help="seconds between restarts (4)")
     parser.add_argument("--lease", type=int, default=LEASE, help=f"seconds ({LEASE})")
+    parser.add_argument("--pace", type=float, default=PACE, help=f"links a second at the start ({PACE:.0f})")
     parser.add_argument("--output", type=Path, help="a file for the lines, beside standard output")
     return parser.parse_args(arguments)
 
@@ -65,6 +66,8 @@
         return [], "--seconds and --every are more than 0, at most 600; --rate is more than 0, at most 1000"
     if not 1 <= given.lease <= 60:
         return [], f"--lease {given.lease}: from 1 to 60 whole seconds"
+    if not 0 < given.pace <= 1e6:
+        return [], f"--pace {given.pace}: more than 0, at most a million"
     if given.alone < 0:
         return [], f"--alone {given.alone}: at least 0"
     plans = []
@@ -78,8 +81,9 @@
 
 async def played(plan: Plan, given: argparse.Namespace, out: Any) -> bool:
     told = Given(
-        plan, given.seed, given.cell_size, given.seconds, given.rate, given.every, given.lease, given.phases
-    )
+        plan, given.seed, given.cell_size, given.seconds, given.rate, given.every, given.lease, given.pace,
+        given.phases,
+    )  # fmt: skip
     run = Run(told, out)
     try:
         await run.begin()
--- a/trials/scale/counts.py
+++ b/trials/scale/counts.py
@@ -47,6 +47,7 @@
     sockets: int = 0
     cpu_s: float = 0.0
     memory: int = 0  # bytes resident
+    each: dict[str, tuple[str, Traffic]] = {}  # by socket, where one that has ended is not seen
 
 
 _buffer = ctypes.create_string_buffer(SIZE)
@@ -77,30 +78,45 @@
     return (int(fields[11]) + int(fields[12])) / TICK
 
 
+def since(before: Sample, after: Sample) -> Sample:
+    """What happened between the two, of sockets that are still open."""
+    told = Sample(sockets=after.sockets, cpu_s=after.cpu_s - before.cpu_s, memory=after.memory)
+    for kind in ("links", "arbiter"):
+        total = getattr(told, kind)
+        total.add(getattr(after, kind))
+        total.add(getattr(before, kind), -1)
+    for inode, (kind, counted) in after.each.items():
+        getattr(told, kind).add(counted)
+        if inode in before.each:
+            getattr(told, kind).add(before.each[inode][1], -1)
+    return told
+
+
 def process(pid: int, host: str, not_ports: set[int], arbiter: tuple[str, int]) -> Sample:
     """Another process of ours: its links are the sockets of `host` but for `not_ports`.
 
-    What its sockets counted that have ended is not seen.
+    What its sockets have counted that have ended is not seen.
     """
     sample = Sample(cpu_s=used(pid), memory=resident(pid))
     pidfd = os.pidfd_open(pid)
     try:
         for name in os.listdir(f"/proc/{pid}/fd"):
             with contextlib.suppress(OSError):
-                if not os.readlink(f"/proc/{pid}/fd/{name}").startswith("socket:"):
+                inode = os.readlink(f"/proc/{pid}/fd/{name}")
+                if not inode.startswith("socket:"):
                     continue
                 copy = libc.syscall(PIDFD_GETFD, pidfd, int(name), 0)
                 if copy < 0:
                     continue
                 with socket.socket(fileno=copy) as sock:
-                    _assigned(sample, sock, host, not_ports, arbiter)
+                    _assigned(sample, inode, sock, host, not_ports, arbiter)
     finally:
         os.close(pidfd)
     return sample
 
 
 def _assigned(
-    sample: Sample, sock: socket.socket, host: str, not_ports: set[int], arbiter: tuple[str, int]
+    sample: Sample, inode: str, sock: socket.socket, host: str, not_ports: set[int], arbiter: tuple[str, int]
 ) -> None:
     if sock.family != socket.AF_INET or sock.type != socket.SOCK_STREAM:
         return
@@ -113,10 +129,10 @@
     if counted is None:
         return
     if peer == arbiter:
-        sample.arbiter.add(counted)
+        sample.each[inode] = "arbiter", counted
         sample.sockets += 1
     elif ours[0] == host and ours[1] not in not_ports:
-        sample.links.add(counted)
+        sample.each[inode] = "links", counted
         sample.sockets += 1
 
 
--- a/trials/scale/member.py
+++ b/trials/scale/member.py
@@ -212,7 +212,7 @@
             self.fleet.module.counts[f"log.{event}"] += 1
 
     def enter(self) -> None:
-        """Listen, and enter at the arbiter; links and watch begin with `join`."""
+        """Listen, and enter at the arbiter; the watch begins with `join`, links with `link`."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((self.host, self.port))
@@ -236,17 +236,34 @@
             actor.meter = self.meter
         self.named, fleet.links.named = fleet.links.named, self._named
         self.started, self.ready_s = loop.now(), 0.0
+        fleet.links.queued = True  # its mail waits until it has begun
         fleet.module.begin()
         fleet.lessee.begin()
 
     def join(self) -> None:
         fleet = self.fleet
         assert fleet is not None
-        self.started = self.loop.now()
         fleet.ruling.following.begin()
-        for actor in (fleet.links, fleet.onlooker, fleet.clerk, fleet.scribe, fleet.asker):
+        for actor in (fleet.onlooker, fleet.clerk, fleet.scribe, fleet.asker):
             actor.begin()
 
+    def link(self) -> None:
+        assert self.fleet is not None
+        links = self.fleet.links
+        self.started = self.loop.now()
+        links.begin()
+        links.queued = False
+        if links.mailbox:
+            self.loop.queue(links)
+
+    def start(self) -> None:
+        """All at once, as a process does."""
+        self.enter()
+        self.join()
+        began = self.started
+        self.link()
+        self.started = began
+
     def kill(self) -> None:
         """As a process ends: its sockets close, nothing is said."""
         assert self.fleet is not None
@@ -304,7 +321,7 @@
     @property
     def wanted(self) -> set[str]:
         """Members that a link is kept with."""
-        view = self.fleet.links.view
+        view = self.fleet.module.covering.view
         peers = getattr(view, "peers", None)
         wanted = set(view.members if peers is None else peers(self.fleet.me)) - {self.fleet.me}
         if self.side:
--- a/trials/scale/run.py
+++ b/trials/scale/run.py
@@ -6,6 +6,7 @@
 import os
 import random
 import socket
+import sys
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -28,6 +29,7 @@
 LEASE = 3  # seconds, as a sidecar has it unless told
 SETTLE = 3.0  # seconds of quiet before a phase is measured: a word about work has its effect for two
 LOOK = 0.1
+PACE = 1000.0
 START = 45.0  # seconds within which all are ready, and more for each pair of members
 A_PAIR = 0.002
 TOLD = 3  # defects whose traces are told
@@ -43,6 +45,7 @@
     rate: float = 1.0  # named work items a second, a member, in the phase `work`
     every: float = 4.0  # seconds between restarts
     lease: int = LEASE
+    pace: float = PACE  # links that come up a second at the start
     phases: list[str] = field(default_factory=lambda: ["rest", "restart", "lost"])
 
 
@@ -63,6 +66,7 @@
         self.real: Real | None = None
         self.lock: socket.socket | None = None
         self.started: dict[str, Any] = {}
+        self.last: dict[str, int] = {}  # what was seen of the hollow ones last
 
     # Start and end.
 
@@ -97,24 +101,49 @@
             self.base[worker] = told["memory"]
         began = time.monotonic()
         await self._all("enter")
-        await self._until(self._entered, "not all have entered")
-        entered = time.monotonic()
-        await self._all("join")
-        await self._until(lambda: self._ready(plan.hollow), "hollow members are not ready")
-        joined = time.monotonic()
-        place = address["host"], address["port"]
-        self.real = Real(given.seed, plan.real, part, plan.size, place)
+        await self._until(lambda: self._entered(plan.hollow), "not all have entered")
+        entered = self._tell("all have entered", began)
+        self.real = Real(given.seed, plan.real, part, plan.size, (address["host"], address["port"]))
         await self.real.__aenter__()
+        await self._until(lambda: self._entered(plan.size), "not all real ones have entered")
+        joined = self._tell("real ones have entered", began)
+        await self._all("join")
+        await self._until(self._seen, "not all have the same view")
+        linking = self._tell("all are in one view", began)
+        await self._link()
+        await self._until(lambda: self._ready(plan.size), "hollow members are not ready")
         if not await self.real.all_ready(self._patience):
             raise Stuck("real members are not ready")
-        await self._until(lambda: self._ready(plan.size), "hollow members are not ready beside real ones")
+        linked = self._tell("all are linked", began)
         await self._all("rest")
         self.started = {
             "enter_s": round(entered - began, 3),
-            "join_s": round(joined - entered, 3),
-            "real_s": round(time.monotonic() - joined, 3),
+            "real_s": round(joined - entered, 3),
+            "view_s": round(linking - joined, 3),
+            "link_s": round(linked - linking, 3),
         }
 
+    async def _link(self) -> None:
+        """Links begin one member after another, at a pace, and the highest id first.
+
+        Each calls those of higher ids, which listen by then. Guards against a storm that is none of the
+        fleet's rest: a link that comes up is beaten ten times a second for two seconds, and so many at once
+        are more than one machine carries for all.
+        """
+        names = sorted(self.names, reverse=True)
+        per_member = self.plan.size if not self.given.cell_size else 2 * self.given.cell_size
+        due = time.monotonic()
+        for number, name in enumerate(names):
+            await self._of([name], "link")
+            due += min(number + self.plan.real, per_member) / self.given.pace
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+
+    def _tell(self, what: str, began: float) -> float:
+        """How it goes, for whoever waits for a large one."""
+        now = time.monotonic()
+        print(f"  {self.plan.size}: {what} after {now - began:.1f} s", file=sys.stderr, flush=True)
+        return now
+
     async def end(self) -> None:
         if self.real is not None:
             await self.real.__aexit__()
@@ -134,12 +163,16 @@
         began = time.monotonic()
         while not await what():
             if time.monotonic() > began + self._patience:
-                raise Stuck(f"{why} after {self._patience:.0f} s")
+                raise Stuck(f"{why} after {self._patience:.0f} s: {self.last}")
             await asyncio.sleep(LOOK)
         return time.monotonic() - began
 
-    async def _entered(self) -> bool:
-        return (await self.arbiter.ask("members"))["members"] == self.plan.hollow
+    async def _entered(self, members: int) -> bool:
+        return (await self.arbiter.ask("members"))["members"] == members
+
+    async def _seen(self) -> bool:
+        told = await self._all("state")
+        return {size for one in told for size in one["sizes"]} == {str(self.plan.size)}
 
     async def _ready(self, members: int, hollow: int | None = None) -> bool:
         """All hollow ones that are there are ready, under one view."""
@@ -148,6 +181,12 @@
         for one in told:
             views.update(one["views"])
         there = sum(one["members"] for one in told)
+        self.last = {
+            "members": there,
+            "ready": sum(one["ready"] for one in told),
+            "views": len(views),
+            "links": sum(one["links"] for one in told),
+        }
         if there != (self.plan.hollow if hollow is None else hollow):
             return False
         in_view = (await self.arbiter.ask("members"))["members"] == members
@@ -198,7 +237,7 @@
                 total.update(new[kind])
                 total.subtract(old[kind])
             ready += [s for s in new["ready_s"].values() if s]
-            defects += new["defects"][len(old["defects"]) :]
+            defects += new["defects"]
         details = {
             "counts": {k: v for k, v in counted.items() if v},
             "frames_in": {k: v for k, v in frames.items() if v},
@@ -273,8 +312,7 @@
 
     async def _restarted(self, names: list[str]) -> None:
         await self._of(names, "kill")
-        await self._of(names, "enter")
-        await self._of(names, "join")
+        await self._of(names, "start")
 
     async def _of(self, names: list[str], do: str) -> None:
         by: dict[Process, list[str]] = {}
@@ -295,8 +333,7 @@
             told |= {"lost": count, "seen_by_all_s": round(took, 3)}
             await asyncio.sleep(max(0.0, self.given.seconds - took))
         async with self.phase("back") as told:
-            await self._of(names, "enter")
-            await self._of(names, "join")
+            await self._of(names, "start")
             took = await self._until(lambda: self._ready(self.plan.size), "not all are back")
             told |= {"came": count, "all_ready_s": round(took, 3)}
 
@@ -372,12 +409,12 @@
         self.own = self.cpu = 0.0
 
     def add(self, before: Sample, after: Sample) -> None:
+        told = counts.since(before, after)
         self.members += 1
-        self.sockets += after.sockets
-        self.own += after.cpu_s - before.cpu_s
-        for total, kind in ((self.traffic, "links"), (self.to_arbiter, "arbiter")):
-            total.add(getattr(after, kind))
-            total.add(getattr(before, kind), -1)
+        self.sockets += told.sockets
+        self.own += told.cpu_s
+        self.traffic.add(told.links)
+        self.to_arbiter.add(told.arbiter)
 
     def figures(self, seconds: float) -> dict[str, Any]:
         """A member's: bytes, messages and segments a second, parts of a core, MB. Wire: with headers."""
--- a/trials/scale/worker.py
+++ b/trials/scale/worker.py
@@ -59,6 +59,16 @@
             member.join()
         return {}
 
+    def link(self, given: dict[str, Any]) -> dict[str, Any]:
+        for member in self._named(given):
+            member.link()
+        return {}
+
+    def start(self, given: dict[str, Any]) -> dict[str, Any]:
+        for member in self._named(given):
+            member.start()
+        return {}
+
     def kill(self, given: dict[str, Any]) -> dict[str, Any]:
         killed = [m for m in self._named(given) if m.fleet is not None]
         for member in killed:
@@ -88,6 +98,7 @@
         return {
             "members": len(there),
             "ready": sum(m.ready for m in there),
+            "sizes": Counter(str(len(module.covering.view.members)) for module in modules),
             "views": Counter(str(module.covering.view.digest) for module in modules),
             "links": sum(len(m.fleet.links.links) for m in there if m.fleet is not None),
             "versions": Counter(str(module.following.in_force.version) for module in modules),
