Slopes of a scale run, its plot, and small runs as tests

Fits by least squares, a part more only where it takes half of what remains; the largest size is predicted from the smaller ones before it is played.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,9 +1,20 @@
 """Stories of a fleet's members without a sidecar round them, and of small scale runs: counts, never times."""
 
+import os
+import resource
+import signal
 import subprocess
 import sys
+from pathlib import Path
+
+import pytest
 
 from trials.rig import ROOT
+from trials.scale import limits
+from trials.scale.__main__ import main, parsed, played
+from trials.scale.slopes import checked, chosen, fitted, predicted
+
+RUN = [sys.executable, "-m", "trials.scale"]
 
 
 def test_a_members_actors_load_nothing_of_a_sidecars_start():
@@ -15,3 +26,139 @@
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
+
+
+def run(size, *more):
+    """The lines of a small run, by role."""
+    import asyncio
+
+    given = parsed(["--sizes", str(size), "--phases", "rest", "--seconds", "3", *more])
+    plan, why = limits.planned(size, given.real, given.alone, given.cell_size, os.cpu_count() or 1)
+    assert plan is not None, why
+    lines = []
+    assert asyncio.run(played(plan, given, lines.append)), lines
+    return {line["role"]: line for line in lines}
+
+
+@pytest.mark.parametrize("size", [25, 50])
+def test_at_rest_a_member_of_one_cell_has_a_link_to_each_other_and_says_a_word_a_second_on_it(size):
+    told = run(size)
+    hollow, real, arbiter = told["hollow"], told["real"], told["arbiter"]
+    assert not hollow["defects"] and "silent" not in hollow["reasons"]
+    assert hollow["members"] + told["alone"]["members"] + real["members"] == size
+    for one in (hollow, real):
+        # Links, the listening socket, and up to four connections to the arbiter.
+        assert size - 1 + 2 <= one["sockets"] <= size - 1 + 5
+        # A word a second on each link, and a renewal of the lease and of the watch now and then.
+        assert 0 < one["messages_out"] <= 1.1 * (size - 1) + 2
+    assert hollow["frames_in"].keys() == {"Beat"}
+    assert arbiter["watch_events_s"] == 0 and arbiter["sockets"] >= 2 * size
+
+
+@pytest.mark.parametrize(
+    ("given", "word"),
+    [
+        (["--sizes", "3"], "size 3"),
+        (["--sizes", "25,100000"], "size 100000"),
+        (["--cell-size", "-1"], "--cell-size"),
+        (["--seconds", "0"], "--seconds"),
+        (["--real", "0"], "real"),
+        (["--lease", "0"], "--lease"),
+        (["--pace", "0"], "--pace"),
+    ],
+)
+def test_a_run_that_is_impossible_is_refused_in_one_line_before_it_starts_anything(
+    given, word, capfd, monkeypatch
+):
+    monkeypatch.setattr("trials.scale.__main__.played", None)
+    assert main(given) == 2
+    out, err = capfd.readouterr()
+    assert out == "" and err.count("\n") == 1 and word in err
+
+
+def test_too_few_descriptors_or_too_little_memory_is_said_before_anything_is_started(monkeypatch):
+    monkeypatch.setattr(limits.resource, "getrlimit", lambda what: (256, resource.RLIM_INFINITY))
+    plan, why = limits.planned(400, 5, 2, 0, 8)
+    assert plan is None and "descriptors" in why
+    monkeypatch.undo()
+    monkeypatch.setattr(limits, "machine_memory", lambda: (2 << 30, 1 << 30))
+    plan, why = limits.planned(400, 5, 2, 0, 8)
+    assert plan is None and "MB" in why
+
+
+def test_a_large_run_is_laid_out_within_the_descriptors_of_a_process(monkeypatch):
+    monkeypatch.setattr(limits.resource, "getrlimit", lambda what: (20_000, 20_000))
+    monkeypatch.setattr(limits, "machine_memory", lambda: (64 << 30, 64 << 30))
+    plan, why = limits.planned(400, 5, 2, 0, 8)
+    assert plan is not None and plan.hollow + plan.real == 400
+    assert all(count * 400 < 20_000 for count in plan.shared)
+
+
+def children(pid):
+    found = []
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            if int(stat.read_text().rpartition(")")[2].split()[1]) == pid:
+                found.append(int(stat.parent.name))
+        except OSError:
+            continue
+    return found
+
+
+def alive(pid):
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
+    except OSError:
+        return False
+
+
+def test_ctrl_c_ends_all_that_a_run_has_started():
+    process = subprocess.Popen(
+        [*RUN, "--sizes", "25", "--seconds", "60"], cwd=ROOT,
+        stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    started = []
+    for line in process.stderr:
+        if "all are linked" in line:
+            started = children(process.pid)
+            process.send_signal(signal.SIGINT)
+    process.stderr.close()
+    assert process.wait(timeout=60) == 130
+    assert len(started) >= 8 and not any(map(alive, started))
+
+
+def test_a_slope_is_told_apart_from_a_constant_and_from_a_square():
+    sizes = [25, 50, 100, 200]
+    assert chosen({n: 7.0 for n in sizes}).form == "constant"
+    linear = chosen({n: 3.0 + 2.0 * n for n in sizes})
+    assert linear.form == "linear" and linear.parts == pytest.approx((3.0, 2.0, 0.0))
+    square = chosen({n: 1.0 + 0.5 * n + 0.25 * n * n for n in sizes})
+    assert square.form == "square" and square.parts == pytest.approx((1.0, 0.5, 0.25))
+    assert square.remains == pytest.approx(0.0, abs=1e-6)
+
+
+def test_noise_is_not_taken_for_a_slope():
+    noisy = {25: 100.0, 50: 101.0, 100: 99.5, 200: 100.4}
+    assert chosen(noisy).form == "constant"
+
+
+def test_the_largest_size_is_predicted_without_having_seen_it():
+    told = checked({25: 27.0, 50: 52.0, 100: 102.0, 200: 302.0})
+    assert told.largest == 200 and told.predicted == pytest.approx(202.0)
+    assert told.error == pytest.approx(-100 / 302)
+    # One that kinks shows in what remains too.
+    assert told.fit.remains > 1.0 or told.fit.form == "square"
+
+
+def test_more_parts_than_sizes_are_refused():
+    with pytest.raises(ValueError, match="2 sizes for 3 parts"):
+        fitted({25: 1.0, 50: 2.0}, "square")
+
+
+def test_a_prediction_goes_by_smaller_sizes_beyond_the_knee_alone():
+    lines = [
+        {"role": "hollow", "phase": "rest", "cell_size": 0, "size": n, "messages_out": float(min(n, 64))}
+        for n in (25, 50, 100, 200, 800)
+    ]
+    (told,) = predicted(lines, 400, 0, ["rest"])
+    assert told["messages_out"] == pytest.approx(64.0) and told["predicts"] == "rest"
--- a/trials/scale/__main__.py
+++ b/trials/scale/__main__.py
@@ -114,7 +114,11 @@
                 print(f"trials.scale: {given.output}: {error.strerror}", file=sys.stderr)
                 return 2
 
+        lines: list[dict[str, Any]] = []
+
         def out(line: dict[str, Any]) -> None:
+            if "phase" in line:
+                lines.append(line)
             for target in (sys.stdout, file):
                 if target is not None:
                     print(json.dumps(line), file=target, flush=True)
@@ -122,6 +126,11 @@
         try:
             well = True
             for plan in plans:
+                if len({line["size"] for line in lines}) > 1:
+                    from .slopes import predicted  # costs a run of one size no import
+
+                    for line in predicted(lines, plan.size, given.cell_size, given.phases):
+                        out(line)
                 well = asyncio.run(played(plan, given, out)) and well
         except KeyboardInterrupt:
             print("trials.scale: stopped", file=sys.stderr)
--- /dev/null
+++ b/trials/scale/plot.py
@@ -0,0 +1,63 @@
+"""A plot of measured lines, figures by size. `python -m trials.scale.plot FILE... --output a.png`."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+from .slopes import points, read
+
+matplotlib.use("Agg")
+
+import matplotlib.pyplot as plt  # noqa: E402
+
+FIGURES = {
+    "sockets": "sockets a member",
+    "wire_out": "bytes/s out with headers, a member",
+    "core": "part of a core, a member",
+    "watch_events_s": "watch events/s, arbiter",
+}
+
+
+def drawn(lines: list[dict[str, Any]], phase: str) -> Any:
+    """One panel a figure; a line for each cell size and role."""
+    figure, panels = plt.subplots(2, 2, figsize=(10, 7))
+    cells = sorted({line["cell_size"] for line in lines})
+    for panel, (name, label) in zip(panels.flat, FIGURES.items(), strict=True):
+        for cell_size in cells:
+            for role in ("arbiter",) if name == "watch_events_s" else ("hollow", "real", "alone"):
+                found = points(lines, role, phase, name, cell_size)
+                if found:
+                    what = f"{role}, " + (f"cells of {cell_size}" if cell_size else "one cell")
+                    panel.plot(list(found), list(found.values()), marker="o", label=what)
+        panel.set_xlabel("members")
+        panel.set_ylabel(label)
+        panel.set_ylim(bottom=0)
+        panel.grid(alpha=0.3)
+        panel.legend(fontsize=7)
+    figure.suptitle(f"phase: {phase}")
+    figure.tight_layout()
+    return figure
+
+
+def main(arguments: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m trials.scale.plot", description=__doc__)
+    parser.add_argument("files", nargs="+", type=Path)
+    parser.add_argument("--phase", default="rest")
+    parser.add_argument("--output", type=Path, required=True)
+    given = parser.parse_args(arguments)
+    try:
+        lines = read(given.files)
+        drawn(lines, given.phase).savefig(given.output, dpi=100)
+    except (OSError, ValueError) as error:
+        print(f"trials.scale.plot: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/trials/scale/slopes.py
@@ -0,0 +1,201 @@
+"""Slopes: constant, linear and square parts of a figure by size, from measured lines.
+
+`python -m trials.scale.slopes FILE...` fits each figure from the sizes measured, tells what remains, and
+checks the form that it would choose by predicting the largest size from the smaller ones alone.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from starlingwheel.net.fleet.links import A_SECOND
+
+KNEE = A_SECOND  # words a second that a member says at rest at most: other forms hold below and above
+FORMS = {"constant": 1, "linear": 2, "square": 3}
+WORTH = 1 / 2  # a further part has to take so much of what remains: guards against fitting the noise
+SAME = 0.02  # of the largest value: what remains less than that is none
+FIGURES = (
+    "sockets", "wire_out", "wire_in", "messages_out", "segments_out", "core", "own_core", "mb", "calls_s",
+    "watch_lines_s", "watch_events_s",
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Fit:
+    """`parts`: constant, a member, a pair of members (n squared); those that the form leaves out are 0."""
+
+    form: str
+    parts: tuple[float, float, float]
+    remains: float  # root of the mean square of what remains, in the figure's own unit
+    sizes: tuple[int, ...]
+
+    def at(self, size: float) -> float:
+        constant, linear, square = self.parts
+        return constant + linear * size + square * size**2
+
+
+@dataclass(frozen=True)
+class Checked:
+    """A fit of all sizes, and the prediction of the largest one from the others; None: too few sizes."""
+
+    fit: Fit
+    largest: int
+    measured: float
+    predicted: float | None
+
+    @property
+    def error(self) -> float | None:
+        """Of the prediction, as a part of what was measured."""
+        if self.predicted is None or not self.measured:
+            return None
+        return (self.predicted - self.measured) / self.measured
+
+
+def fitted(points: Mapping[int, float], form: str) -> Fit:
+    """Least squares of that form. Raises `ValueError` for fewer sizes than parts."""
+    count = FORMS[form]
+    if len(points) < count:
+        raise ValueError(f"{len(points)} sizes for {count} parts")
+    sizes = np.array(sorted(points), dtype=float)
+    values = np.array([points[int(n)] for n in sizes])
+    # Scaled: guards against a square of hundreds next to a constant.
+    scale = sizes.max()
+    columns = np.vander(sizes / scale, count, increasing=True)
+    solved = np.linalg.lstsq(columns, values, rcond=None)[0]
+    remains = float(np.sqrt(np.mean((columns @ solved - values) ** 2)))
+    parts = [float(p) / scale**i for i, p in enumerate(solved)] + [0.0] * (3 - count)
+    return Fit(form, (parts[0], parts[1], parts[2]), remains, tuple(int(n) for n in sizes))
+
+
+def chosen(points: Mapping[int, float]) -> Fit:
+    """The simplest form beyond which no part is worth it; at least one size more than parts, if there is."""
+    most = max(abs(value) for value in points.values()) or 1.0
+    forms = [form for form, count in FORMS.items() if len(points) > count] or ["constant"]
+    best = fitted(points, forms[0])
+    for form in forms[1:]:
+        if best.remains <= SAME * most:
+            break
+        further = fitted(points, form)
+        if further.remains < (1 - WORTH) * best.remains:
+            best = further
+    return best
+
+
+def checked(points: Mapping[int, float]) -> Checked:
+    largest = max(points)
+    smaller = {size: value for size, value in points.items() if size != largest}
+    predicted = chosen(smaller).at(largest) if len(smaller) > 1 else None
+    return Checked(chosen(points), largest, points[largest], predicted)
+
+
+def read(paths: Iterable[Path]) -> list[dict[str, Any]]:
+    lines = [json.loads(line) for path in paths for line in path.read_text().splitlines() if line.strip()]
+    return [line for line in lines if "phase" in line]
+
+
+def points(
+    lines: Iterable[Mapping[str, Any]], role: str, phase: str, figure: str, cell_size: int
+) -> dict[int, float]:
+    """The mean of all seeds by size."""
+    found: dict[int, list[float]] = defaultdict(list)
+    for line in lines:
+        if (line["role"], line["phase"], line["cell_size"]) == (role, phase, cell_size) and figure in line:
+            found[line["size"]].append(line[figure])
+    return {size: sum(values) / len(values) for size, values in sorted(found.items())}
+
+
+def ranges(by_size: Mapping[int, float], role: str, phase: str) -> Iterable[tuple[str, dict[int, float]]]:
+    """What is fitted by itself: at rest a member says no more beyond the knee."""
+    if phase == "rest" and role != "arbiter":
+        below = {n: v for n, v in by_size.items() if n <= KNEE}
+        above = {n: v for n, v in by_size.items() if n > KNEE}
+        if len(above) > 1:
+            yield f"{min(above)} to {max(above)}", above
+        elif len(below) > 1:
+            yield f"{min(below)} to {max(below)}", below
+    elif len(by_size) > 1:
+        yield f"{min(by_size)} to {max(by_size)}", dict(by_size)
+
+
+def predicted(
+    lines: list[dict[str, Any]], size: int, cell_size: int, phases: Iterable[str]
+) -> list[dict[str, Any]]:
+    """What the sizes below say of that one, before it is played: a line for each phase and role."""
+    told = []
+    for phase in phases:
+        for role in ("hollow", "alone", "real", "arbiter"):
+            figures = {}
+            for figure in FIGURES:
+                below = {n: v for n, v in points(lines, role, phase, figure, cell_size).items() if n < size}
+                if phase == "rest" and role != "arbiter" and size > KNEE:
+                    below = {n: v for n, v in below.items() if n > KNEE}
+                if len(below) > 1:
+                    figures[figure] = float(f"{chosen(below).at(size):.4g}")
+            if figures:
+                told.append({"predicts": phase, "size": size, "cell_size": cell_size, "role": role} | figures)
+    return told
+
+
+def table(lines: list[dict[str, Any]], size: int) -> str:
+    """Markdown. `size`: what the fit says of that one; beyond the largest measured it is extrapolated."""
+    rows = [
+        f"| cells of | phase | role | figure | measured at | constant | a member | a pair | remains "
+        f"| largest: measured, predicted, error | at {size:,} |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    kinds = sorted({(line["cell_size"], line["phase"], line["role"]) for line in lines})
+    for cell_size, phase, role in kinds:
+        for figure in FIGURES:
+            by_size = points(lines, role, phase, figure, cell_size)
+            for span, some in ranges(by_size, role, phase):
+                if any(some.values()):
+                    rows.append(_row(str(cell_size or "all"), phase, role, figure, span, checked(some), size))
+    return "\n".join(rows)
+
+
+def _row(cells: str, phase: str, role: str, figure: str, span: str, told: Checked, size: int) -> str:
+    fit = told.fit
+    constant, linear, square = (f"{part:.4g}" if part else "-" for part in fit.parts)
+    check = f"{told.largest}: {told.measured:.4g}, no prediction: too few sizes"
+    if told.predicted is not None:
+        error = "-" if told.error is None else f"{told.error:+.1%}"
+        check = f"{told.largest}: {told.measured:.4g}, {told.predicted:.4g}, {error}"
+    word = "extrapolated " if size > told.largest else ""
+    return (
+        f"| {cells} | {phase} | {role} | {figure} | {span} | {constant} | {linear} | {square} "
+        f"| {fit.remains:.3g} | {check} | {word}{fit.at(size):.4g} |"
+    )
+
+
+def main(arguments: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m trials.scale.slopes", description=__doc__)
+    parser.add_argument("files", nargs="+", type=Path, help="lines of trials.scale")
+    parser.add_argument("--size", type=int, default=1600, help="what the fits say of it (1600)")
+    parser.add_argument("--phase", help="only this one")
+    parser.add_argument("--role", help="only this one")
+    given = parser.parse_args(arguments)
+    try:
+        lines = read(given.files)
+    except (OSError, ValueError) as error:
+        print(f"trials.scale.slopes: {error}", file=sys.stderr)
+        return 2
+    lines = [one for one in lines if given.phase in (None, one["phase"])]
+    lines = [one for one in lines if given.role in (None, one["role"])]
+    if not lines:
+        print("trials.scale.slopes: no line has a figure", file=sys.stderr)
+        return 2
+    print(table(lines, given.size))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
