--- a/starlingwheel/net/fleet/arbiter.py
+++ b/starlingwheel/net/fleet/arbiter.py
@@ -320,15 +320,24 @@
 class Clerk(Speaker):
     """Ends the entries of members whose process has ended, so that nobody waits for their leases."""
 
+    def __init__(self, *given: Any) -> None:
+        self.gone: dict[str, Member] = {}  # whose entries are to end
+        super().__init__(*given)
+
+    def post(self, mail: Any) -> None:
+        if isinstance(mail, Strike):
+            # Guards against losing one that comes while another is waited for: many may end at once.
+            self.gone[mail.member.id] = mail.member
+        super().post(mail)
+
     def work(self) -> Coroutine[None]:
         while True:
-            mail = yield None
-            if isinstance(mail, Ready):
-                self.hang_up()
-            if isinstance(mail, Strike):
+            while self.gone:
                 # Guards against all members asking in the same moment; the first one does.
                 yield from self.wait(self.loop.now() + self.chance.random() * PAUSES[0])
-                yield from self._strike(mail.member)
+                yield from self._strike(self.gone.popitem()[1])
+            if isinstance((yield None), Ready):
+                self.hang_up()
 
     def _strike(self, member: Member) -> Coroutine[None]:
         key = MEMBERS + member.id
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -18,6 +18,7 @@
 from starlingwheel.fleet.view import Member, View
 from starlingwheel.net.fleet import arbiter as client
 from starlingwheel.net.fleet.links import Reader, Refused, framed
+from starlingwheel.net.fleet.mail import Strike
 from starlingwheel.net.mail import STOP
 from trials.emulated import World
 from trials.rig import free_port
@@ -276,6 +277,19 @@
     member.until(lambda: "n9.ff" in member.node.module.covering.view)
 
 
+def test_two_that_end_in_the_same_moment_are_both_struck(member, served):
+    member.until(lambda: joined(member))
+    view = member.node.module.covering
+    for name in ("n8", "n9"):
+        other = Member(f"{name}.ff", name, "127.0.0.1:1")
+        put = {"key": client.b64(f"/f/members/{name}.ff"), "value": client.b64(msgspec.json.encode(other))}
+        served.call(served.arbiter._put, put)
+    member.until(lambda: len(view.view.members) == 3)
+    for gone in [m for m in view.view.members.values() if m.name != "n0"]:
+        member.node.fleet.clerk.post(Strike(gone))
+    member.until(lambda: len(view.view.members) == 1)
+
+
 def test_an_entry_that_nobody_can_read_hides_no_other(member, served):
     member.until(lambda: joined(member))
     served.call(served.arbiter._put, {"key": client.b64("/f/members/x"), "value": client.b64("{")})
