--- a/trials/scale/run.py
+++ b/trials/scale/run.py
@@ -6,6 +6,7 @@
 import os
 import random
 import socket
+import subprocess
 import sys
 import time
 from collections import Counter
@@ -17,7 +18,7 @@
 import msgspec
 
 from ..policy import body
-from ..rig import CAPS, CATEGORIES, ZONES
+from ..rig import CAPS, CATEGORIES, ROOT, ZONES
 from . import counts
 from .control import Process
 from .counts import HEADERS, Sample
@@ -65,6 +66,7 @@
         self.base: dict[Process, int] = {}  # memory of a process before its members were there
         self.real: Real | None = None
         self.lock: socket.socket | None = None
+        self.commit = checkout()
         self.started: dict[str, Any] = {}
         self.last: dict[str, int] = {}  # what was seen of the hollow ones last
 
@@ -218,7 +220,7 @@
         given = self.given
         head = {
             "size": self.plan.size, "seed": given.seed, "cell_size": given.cell_size, "phase": name,
-            "seconds": round(seconds, 3), "load": after["load"],
+            "seconds": round(seconds, 3), "load": after["load"], "commit": self.commit,
         }  # fmt: skip
         lines = []
         shared, alone = Group(), Group()
@@ -446,6 +448,14 @@
     return msgspec.convert(given, Sample)
 
 
+def checkout() -> str:
+    """Which program was run; with a plus where files differ from that."""
+    told = subprocess.run(
+        ["git", "describe", "--always", "--dirty=+", "--exclude=*"], cwd=ROOT, capture_output=True, text=True
+    )
+    return told.stdout.strip()
+
+
 def addresses() -> tuple[int, socket.socket]:
     """A part of the loopback's addresses that no other run has; held for as long as the socket is open."""
     for net in random.SystemRandom().sample(list(NETS), len(NETS)):
