--- a/trials/added.py
+++ b/trials/added.py
@@ -155,7 +155,7 @@
     chance = random.Random(name)
     through, to = Kept(sidecar), [Kept(address) for address in direct]
     at, number = time.monotonic() + chance.expovariate(rate), 0
-    while at < until:
+    while max(at, time.monotonic()) < until:
         time.sleep(max(0.0, at - time.monotonic()))
         one = chance.choice(to)
         trace, number = f"{name}-{number}", number + 1
