A request that waits for a connection to come up goes by one that has rested meanwhile

Change: Connection._connect gives its errand to a connection of the same upstream that has rested, once that rest is over and it is not up; it comes up for the next one. What has carried nothing yet has nothing to rest from; that it breaks at rest says nothing of its upstream, as with one that has. Test: a new connection is held back; it fails with upstream.py as it was (seen).

--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -194,7 +194,7 @@
                 return
         room = self.node.ledger.room_for_upstream()
         # Guards against a second answer that comes late being taken for that of the next request.
-        if connection := self._rested() or (None if room else self._longest_idle()):
+        if connection := self.rested() or (None if room else self._longest_idle()):
             errand.connection = connection
             connection.post(Carry(errand))
             return
@@ -210,8 +210,8 @@
             self.shared.append(errand.connection)
         errand.connection.begin()
 
-    def _rested(self) -> Connection | None:
-        """Of the idle connections on which no second answer is to be expected the one used last."""
+    def rested(self) -> Connection | None:
+        """Of the idle connections on which no second answer is to be expected the one used last; it is taken."""
         return self._first_usable([c for c in reversed(self.idle) if c.rested()])
 
     def _longest_idle(self) -> Connection | None:
@@ -237,7 +237,7 @@
         self.body = Body(node.pool)
         self.reason = ""
         self.carried = 0
-        self.idle_since = self.written_at = 0.0
+        self.idle_since = self.written_at = 0.0  # nothing: not yet
         self.asked = False  # its last errand was a question
         self.entry = upstream.entry  # as it was when this connection was begun
         node.ledger.upstream[self] = None
@@ -256,11 +256,14 @@
         """
         now = self.loop.now()
         quiet = self.asked and now >= self.node.unasked_until
-        return quiet or now >= self.idle_since + RESTED * self.node.shortest
+        return not self.carried or quiet or now >= self.idle_since + RESTED * self.node.shortest
 
     def run(self) -> Coroutine[None]:
         try:
             yield from self._connect()
+            if self.errand is None:
+                self.upstream.post(Free(self))
+                yield from self._rest()
             while True:
                 fate, report, answer = yield from self._exchange()
                 if self.reason:
@@ -289,7 +292,7 @@
             now = self.loop.now()
             if not written or now < self.written_at + HELD * self.node.shortest:
                 self.node.resets_until = now + WARY * self.node.longest
-        if self.errand is not None and not written and self.carried:
+        if self.errand is not None and not written and self.idle_since:
             # The connection was old, which says nothing of the upstream.
             return Fate.UNSENT
         if reason == "overdue" and written:
@@ -319,8 +322,17 @@
         self.stream.want(WRITE)
         # Guards against a connection that never comes up: a machine that vanished says nothing. What waits
         # has not run, so it is given up while there is time for another upstream.
-        within = self.loop.now() + min(self.node.terms.connect_within, UP * self.node.shortest)
-        yield from self._await(min(within, self.errand.until), "never-came-up")
+        now = self.loop.now()
+        within = now + min(self.node.terms.connect_within, UP * self.node.shortest)
+        until = min(within, self.errand.until)
+        if (yield from self._await(until, "never-came-up", now + RESTED * self.node.shortest)) is None:
+            if kept := self.upstream.rested():
+                # Guards against waiting for one that comes up late where another has rested meanwhile.
+                errand, self.errand = self.errand, None
+                errand.connection = kept
+                kept.post(Carry(errand))
+                until = within
+            yield from self._await(until, "never-came-up")
         self.stream.came_up()
 
     # One errand.
@@ -329,6 +341,7 @@
         errand, stream = self.errand, self.stream
         if self.carried:
             yield from self._listen(errand)
+        if self.idle_since:
             # Guards against what came behind the last answer being taken for the next one.
             self._nothing_came()
         if moved(self.entry, self.node):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -249,6 +249,31 @@
     nothing_comes(around, third, 0.01)
 
 
+def test_where_a_new_connection_comes_up_late_the_request_goes_by_one_that_has_rested_meanwhile(
+    make_surroundings,
+):
+    caps = SETTINGS["caps"] | {"connectTimeout": 5_000_000}
+    around = make_surroundings(settings={"caps": caps, "categories": categories(4000000)})
+    client = around.client()
+    client.sendall(around.request())
+    first = around.serve()
+    assert around.status(client) == 200
+    around.until(around.node.ledger.longest_idle)
+    client.sendall(around.request(x_trace_id="t2"))
+    late = around.until(lambda: next((c for c in around.node.ledger.upstream if not c.carried), None))
+    with held(around, late, WRITE):
+        around.received(first)
+        assert not around.logged("upstream.end") and late.errand is None
+    around.reply(first)
+    assert around.status(client) == 200
+    around.until(lambda: len(around.node.ledger.idle) == 2)
+    # What has come up in vain has nothing to rest from.
+    assert late.rested()
+    client.sendall(around.request(x_trace_id="t3"))
+    around.serve()
+    assert around.status(client) == 200
+
+
 def test_where_there_is_no_room_for_another_the_connection_is_used_at_once(answered):
     around, client, first = answered
     around.node.ledger.share = 1
