--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -211,7 +211,7 @@
         errand.connection.begin()
 
     def rested(self) -> Connection | None:
-        """Of the idle connections on which no second answer is to be expected the one used last; it is taken."""
+        """Of the idle connections on which no second answer is expected the one used last; it is taken."""
         return self._first_usable([c for c in reversed(self.idle) if c.rested()])
 
     def _longest_idle(self) -> Connection | None:
