What discovery has is told within 6 s, whatever call fails or hangs

Cause: a silent watch takes 3 s to be found, and a call that discovery accepts and never answers was given up after 4 s more; after refusals the decisions' pauses grew past 6 s in large fleets, and so did patience and pause together where the list is pushed (List._ended). Under a lower limit of descriptors than was told, idle clients kept discovery's call out, and connect() raised past Lost, a defect of the watch. Change: while no call is answered two begin within 5.5 s: a second one beside the first where that hangs (list.beside), the first answered stays; a call that waited makes the next one's patience longer. The time a call has counts from its start, not anew from when it came up. The process's real limit of descriptors counts (limits.lower).

--- a/starlingwheel/net/lifecycle/start.py
+++ b/starlingwheel/net/lifecycle/start.py
@@ -93,7 +93,10 @@
         limits = self.config.limits
         self.processes = processes
         self.pool.limit(int(limits.memory_mb * BUFFERS * 2**20 / SIZE / processes))
-        self.ledger.limit(limits.sockets, processes)
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        # Guards against clients taking, of fewer descriptors than were told, also those for discovery's call.
+        sockets = limits.sockets if soft == resource.RLIM_INFINITY else min(limits.sockets, soft)
+        self.ledger.limit(sockets, processes)
 
     def look_beside(self) -> None:
         processes = 1 + (self.beside is not None and self.beside.others())
@@ -220,11 +223,13 @@
 def main() -> int:
     try:
         config, terms = configured(os.environ)
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         wanted = config.limits.sockets
-        if hard == resource.RLIM_INFINITY or hard >= wanted:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
         node = Node(config, terms, os.environ)
+        if soft < wanted:
+            node.log("limits.lower", sockets=soft, told=wanted)
     except Unusable as error:
         print(f"starlingwheel: {error}", file=sys.stderr)
         return 2
--- a/starlingwheel/net/mail.py
+++ b/starlingwheel/net/mail.py
@@ -126,6 +126,13 @@
     word: Any
 
 
+@dataclass(slots=True, eq=False)
+class Answered:
+    """To the list: the answer to a call has begun, so it does not hang."""
+
+    watch: Any
+
+
 @dataclass(slots=True, eq=False)
 class WatchEnded:
     """To the list: a watch has ended."""
--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -12,7 +12,7 @@
 from ...decisions.terms import Condition, Listing, News
 from ..actor import Actor, Coroutine
 from ..loop import READ, WRITE, Ready
-from ..mail import CLOSE, Listed, Relocated, Said, Subscribe, WatchEnded
+from ..mail import CLOSE, Answered, Listed, Relocated, Said, Subscribe, WatchEnded
 from .http import Lost, Stream, connect
 
 if TYPE_CHECKING:
@@ -25,6 +25,11 @@
 ANEW = 1 / 2  # times that, within which a watch that fell silent is opened anew
 AGENT = 1 / 4  # times that, for which a call to what lists are pushed by waits at first; it doubles
 UNHEARD = 6.0  # times that, after which a start does without that
+# What discovery has counts as told 3 times that later, whatever call fails or hangs:
+TWICE = 11 / 4  # times that, within which two calls begin while none is answered, so that one may hang
+HANGS = 5 / 8  # times that, before which a call without an answer is not taken to hang
+FIRST = TWICE - HANGS  # times that, within which the next begins, so that there is time for one more
+SPREAD = 1 / 4  # times that, by which these come sooner by chance, so that not all sidecars call at once
 LONGEST_LINE = 4 << 20
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 CONDITIONS = {"active": Condition.READY, "leaving": Condition.DRAINING, "left": Condition.GONE}
@@ -75,6 +80,7 @@
         self.stream: Stream | None = None
         self.reason = "defect"  # why it has ended
         self.heard = False  # its answer has begun
+        self.begun_at = self.read_at = node.loop.now()  # the latter: when something was read last
         self.part = b""  # of an object that lies over several lines
         self.depth = 0  # its brackets that are open
         super().__init__(node.loop)
@@ -93,8 +99,7 @@
             self.node.log("list.end", reason=self.reason, address=self.address, version=self.version)
             self.node.list.post(WatchEnded(self))
 
-    def _await(self, times: float) -> Coroutine[None]:
-        until = self.loop.now() + EMPTY_LINE * times
+    def _await(self, until: float) -> Coroutine[None]:
         while True:
             mail = yield until
             if mail is None:
@@ -109,25 +114,28 @@
         sock = connect(self.address)
         self.stream = stream = Stream(self.loop, self, sock, h11.CLIENT, self.node.pool)
         stream.want(WRITE)
-        yield from self._await(self.patience)
+        given_up = self.loop.now() + EMPTY_LINE * self.patience
+        yield from self._await(given_up)
         stream.came_up()
         target = f"/v1/endpoints?watch=1&from={self.version}"
         headers = [(b"Host", self.address.encode())]
         stream.put(h11.Request(method=b"GET", target=target, headers=headers), h11.EndOfMessage())
         while not stream.write():
-            yield from self._await(self.patience)
+            yield from self._await(given_up)
         stream.want(READ)
         line = b""
         while True:
             event = stream.event()
             if event is h11.NEED_DATA:
                 begun = stream.http.their_state is not h11.SEND_RESPONSE
-                yield from self._await(SILENT if begun else self.patience)
-                stream.read()
+                yield from self._await(self.read_at + EMPTY_LINE * SILENT if begun else given_up)
+                if stream.read() is not None:
+                    self.read_at = self.loop.now()
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     raise Lost(f"answered-{event.status_code}")
                 self.heard = True
+                self.node.list.post(Answered(self))
             elif isinstance(event, h11.Data):
                 *whole, line = (line + bytes(event.data)).split(b"\n")
                 if len(line) > LONGEST_LINE:
@@ -189,7 +197,11 @@
 
 
 class List(Actor):
-    """Keeps one watch in force, and moves to another discovery when a new configuration names one."""
+    """Keeps one watch in force, and moves to another discovery when a new configuration names one.
+
+    While none is answered, two calls begin within `TWICE`, whatever became of those before: one begins beside
+    another only where that hangs, and of the two the first that is answered stays.
+    """
 
     urgent = True
     lasting = True
@@ -200,8 +212,12 @@
         self.address = node.config.discovery
         self.current: Watch | None = None  # the one whose word is taken
         self.coming: Watch | None = None  # at the address of a new configuration; it has not spoken yet
+        self.beside: Watch | None = None  # a second call, where the one that is to be answered hangs
         self.moving = False
         self.move_at, self.pause = inf, 0.0
+        self.since = inf  # when the call before began, or a watch was last known to be in force
+        self.due = inf  # when the next call begins at the latest
+        self.hangs = HANGS * EMPTY_LINE  # how long a call has to be without an answer to be taken to hang
         # Where the list comes unasked it is kept close by, and what is there counts as told at once.
         self.pushed = not node.terms.must_subscribe
         self.first = AGENT if self.pushed else PATIENT
@@ -215,19 +231,19 @@
     def run(self) -> Coroutine[None]:
         if self.pushed and self.current is None and self.coming is None:
             # The list comes unasked: the decisions never ask, so its watch is begun and kept up here.
-            self.current = self._watch(self.version)
+            self._call()
         while True:
-            match (yield min(self.move_at, self.without_at)):
+            match (yield min(self.move_at, self.due, self.without_at)):
                 case None if self.loop.now() >= self.without_at:
                     self._begin_with(self.known)
-                case None if self.moving:
-                    self._move()
                 case None:
-                    self.move_at, self.current = inf, self._watch(self.version)
+                    self._call()
                 case Subscribe() if self.current is None and not self.moving and self.move_at == inf:
-                    self.current = self._watch(self.version)
+                    self._call()
                 case Relocated(address):
                     self._relocated(address)
+                case Answered(watch):
+                    self._answered(watch)
                 case Said(watch, word):
                     self._said(watch, word)
                 case WatchEnded(watch):
@@ -250,29 +266,71 @@
         entries = self.node.out.listed(True, known.servers if known else [])
         self.node.module.post(Listed(News.WHOLE, entries))
 
-    def _watch(self, version: int) -> Watch:
-        watch = Watch(self.node, self.address, version, self.patience)
+    @property
+    def _asked(self) -> Watch | None:
+        """The call that is to be answered. A new discovery is asked while the old watch still serves."""
+        return self.coming if self.moving else self.current
+
+    def _put(self, watch: Watch | None) -> None:
+        if self.moving:
+            self.coming = watch
+        else:
+            self.current = watch
+
+    def _soon(self, times: float) -> float:
+        """So many empty lines, or a little less."""
+        return EMPTY_LINE * (times - SPREAD * self.node.chance.random())
+
+    def _call(self) -> None:
+        now = self.loop.now()
+        before, self.since = min(self.since, now), now
+        self.move_at = inf
+        second = max(before + self._soon(TWICE), now + self.hangs)
+        self.due = min(second, now + self._soon(FIRST))
+        # A new discovery is asked for the whole list: its versions need not be those of the old one.
+        watch = Watch(self.node, self.address, 0 if self.moving else self.version, self.patience)
+        if self._asked is None:
+            self._put(watch)
+        else:
+            # Guards against what an answer that never comes holds back counting as told meanwhile.
+            self._close(self.beside)
+            self.beside = watch
+            self.node.log("list.beside", address=self.address)
         watch.begin()
-        return watch
+
+    def _close(self, watch: Watch | None) -> None:
+        if watch is not None:
+            watch.post(CLOSE)
+
+    def _answered(self, watch: Watch) -> None:
+        if watch is self.beside:
+            self._close(self._asked)
+            self._put(watch)
+        elif watch is self._asked:
+            self._close(self.beside)
+        else:
+            return
+        self._waited(watch)
+        self.beside, self.due = None, inf
+
+    def _waited(self, watch: Watch) -> None:
+        """Guards against a discovery that is busy being called twice for it: what waits does not hang."""
+        waited = self.loop.now() - watch.begun_at
+        self.hangs = min(max(HANGS * EMPTY_LINE, 2 * waited), PATIENT * EMPTY_LINE)
 
     def _relocated(self, address: str) -> None:
         self.address, self.moving, self.pause = address, True, FIRST_PAUSE * EMPTY_LINE
-        if self.coming is not None:
-            coming, self.coming = self.coming, None
-            coming.post(CLOSE)
-        self._move()
-
-    def _move(self) -> None:
-        """Asks the new one for the whole list: its versions need not be those of the old one."""
-        self.move_at = inf
-        self.coming = self._watch(0)
+        self.since, self.patience = inf, self.first
+        for watch in (self.coming, self.beside):
+            self._close(watch)
+        self.coming = self.beside = None
+        self._call()
 
     def _said(self, watch: Watch, word: Word) -> None:
         if watch is self.coming:
             # The old watch serves until the new one has spoken.
             before, self.current, self.coming, self.moving = self.current, watch, None, False
-            if before is not None:
-                before.post(CLOSE)
+            self._close(before)
         if watch is self.current:
             self.version, self.pause, self.patience = word.version, 0.0, self.first
             if self.without_at < inf and not word.full:
@@ -281,23 +339,43 @@
             self.node.module.post(Listed(word.news, self.node.out.listed(word.full, word.servers)))
 
     def _ended(self, watch: Watch) -> None:
-        if watch is self.coming:
+        now = self.loop.now()
+        if watch in (self.beside, self._asked) and (watch.heard or watch.reason == "refused"):
+            # What it has said until then is known, or it could not be reached until then.
+            self.since = watch.read_at if watch.reason == "silent" else now
+            self.due = now + self._soon(FIRST)
+        elif watch in (self.beside, self._asked) and watch.reason != "silent":
+            self._waited(watch)
+        if watch is self.beside:
+            self.beside = None
+        elif watch is not self._asked:
+            if watch is self.current:
+                self.current = None
+        elif self.beside is not None:
+            self._put(self.beside)
+            self.beside = None
+        else:
+            self._put(None)
+            self._again(watch)
+
+    def _again(self, watch: Watch) -> None:
+        """No call is on its way now."""
+        now = self.loop.now()
+        if self.moving:
             # Guards against a new discovery that is not up yet: its word counts as told in seconds.
-            self.coming = None
-            self.move_at = self.loop.now() + self.pause
+            self.move_at = now + self.pause
             self.pause = min(2 * self.pause, EMPTY_LINE)
-        elif watch is self.current:
-            self.current = None
-            if self.moving:
-                return
-            self.version = watch.version
-            self.node.module.post(Listed(News.FAILED, []))
             if self.pushed:
                 self.patience = min(2 * self.patience, PATIENT)
-                # Guards against all sidecars calling again in the same moment.
-                self.pause = min(2 * self.pause or FIRST_PAUSE * EMPTY_LINE, self.longest_pause)
-                self.move_at = self.loop.now() + self.pause * (0.5 + self.node.chance.random())
-            elif watch.reason == "silent" and watch.heard:
-                # Guards against what it misses counting as told while the decisions still spread their calls
-                # over the fleet; when each sidecar finds its watch silent is spread by itself.
-                self.move_at = self.loop.now() + ANEW * EMPTY_LINE * self.node.chance.random()
+            return
+        self.version = watch.version
+        self.node.module.post(Listed(News.FAILED, []))
+        if self.pushed:
+            self.patience = min(2 * self.patience, PATIENT)
+            # Guards against all sidecars calling again in the same moment.
+            self.pause = min(2 * self.pause or FIRST_PAUSE * EMPTY_LINE, self.longest_pause)
+            self.move_at = now + self.pause * (0.5 + self.node.chance.random())
+        elif watch.reason == "silent" and watch.heard:
+            # Guards against what it misses counting as told while the decisions still spread their calls
+            # over the fleet; when each sidecar finds its watch silent is spread by itself.
+            self.move_at = now + ANEW * EMPTY_LINE * self.node.chance.random()
--- a/starlingwheel/net/wire/http.py
+++ b/starlingwheel/net/wire/http.py
@@ -165,7 +165,10 @@
 
     `source`: the host that it goes out from, where that matters. Raises `Lost`.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:  # no descriptor is left
+        raise Lost("refused") from error
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,7 +15,7 @@
 
 import msgspec
 import pytest
-from conftest import SETTINGS, categories
+from conftest import SETTINGS, address, bound, categories
 
 from standins.loopback import free_address
 from starlingwheel.net.lifecycle import stop
@@ -358,6 +358,33 @@
     assert around.node.list.patience == discovery.AGENT
 
 
+@pytest.mark.parametrize("moved", [False, True])
+@pytest.mark.parametrize("answered", [0, 1])
+def test_of_two_calls_the_first_that_is_answered_stays(around, monkeypatch, answered, moved):
+    """On real sockets; when a second call begins, and how often, is played in test_told.py."""
+    monkeypatch.setattr(discovery, "EMPTY_LINE", 0.1)
+    around.watch(b"")
+    around.node.list.first = around.node.list.patience = 1000.0  # the story may take its time
+    around.node.list.hangs = 0.1
+    if moved:
+        around.discovery = around.keep(bound())
+        around.reconfigure(discovery=address(around.discovery))
+    calls = [around.accept(listener=around.discovery), around.accept(listener=around.discovery)]
+    around.node.list.due = float("inf")
+    word = {"version": 9, "full": True, "servers": [around.entry(0, state="leaving")]}
+    request, _ = around.received(calls[answered])
+    assert request.target.endswith(b"from=0" if moved else b"from=7")
+    calls[answered].sendall(b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n")
+    around.say(calls[answered], word)
+    around.until(lambda: around.node.list.version == 9)
+    around.received(calls[1 - answered])
+    assert around.until(lambda: around.read(calls[1 - answered])) == b"end"
+    assert around.node.list.current.address == address(around.discovery)
+    assert around.node.list.beside is None and len(around.logged("list.beside")) == 1
+    around.say(calls[answered], word | {"version": 10})
+    around.until(lambda: around.node.list.version == 10)
+
+
 # Stop, start and room.
 
 
