--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -1,4 +1,7 @@
-"""python -m trials NAME --seed N: play a trial; exit code 0: all promises kept, 1: one was broken."""
+"""python -m trials NAME --seed N: play a trial; exit code 0: all promises kept, 1: one was broken.
+
+python -m trials scale --help: the scale run.
+"""
 
 from __future__ import annotations
 
@@ -24,6 +27,10 @@
 
 
 def main() -> int:
+    if sys.argv[1:2] == ["scale"]:
+        from .scale.__main__ import main as scale  # has a command line of its own
+
+        return scale(sys.argv[2:])
     parser = argparse.ArgumentParser(prog="python -m trials", description=__doc__)
     parser.add_argument("trial", choices=TRIALS)
     parser.add_argument("--seed", type=int, default=1, help="names the timetable of faults (default: 1)")
