--- a/trials/scale/__main__.py
+++ b/trials/scale/__main__.py
@@ -1,7 +1,8 @@
 """python -m trials.scale --sizes 25,50: a fleet of each size, most of it hollow; figures a member by phase.
 
 Each line of the output is JSON: one role (hollow, alone, real, arbiter) in one phase. Exit code 0: all sizes
-were played; 1: a size ended early (a line with `ended` says why); 2: bad input, nothing was started.
+were played; 1: a size ended early (a line with `ended` says why) and no larger one was begun; 2: bad input,
+nothing was started.
 """
 
 from __future__ import annotations
@@ -131,7 +132,9 @@
 
                     for line in predicted(lines, plan.size, given.cell_size, given.phases):
                         out(line)
-                well = asyncio.run(played(plan, given, out)) and well
+                well = asyncio.run(played(plan, given, out))
+                if not well:
+                    break  # what does not come to rest at one size does not at a larger one
         except KeyboardInterrupt:
             print("trials.scale: stopped", file=sys.stderr)
             return 130
