--- a/trials/scale/run.py
+++ b/trials/scale/run.py
@@ -398,9 +398,21 @@
 
     async def play(self) -> None:
         for name in self.given.phases:
-            await asyncio.sleep(SETTLE)
+            await self._calm()
             await PHASES[name](self)
 
+    async def _calm(self) -> None:
+        """No link has come up or ended for a while: what did is beaten more often, and is no rest."""
+        changes, since, until = -1, 0.0, time.monotonic() + self._patience
+        while time.monotonic() < until:
+            now = sum(one["changes"] for one in await self._all("state"))
+            if now != changes:
+                changes, since = now, time.monotonic()
+            if time.monotonic() >= since + SETTLE:
+                return
+            await asyncio.sleep(LOOK)
+        raise Stuck(f"links come and go for {self._patience:.0f} s: {self.last}")
+
 
 PHASES: dict[str, Callable[[Run], Awaitable[None]]] = {
     "rest": Run.rest, "work": Run.work, "restart": Run.restart, "lost": Run.lost, "policy": Run.policy,
--- a/trials/scale/worker.py
+++ b/trials/scale/worker.py
@@ -101,6 +101,7 @@
             "sizes": Counter(str(len(module.covering.view.members)) for module in modules),
             "views": Counter(str(module.covering.view.digest) for module in modules),
             "links": sum(len(m.fleet.links.links) for m in there if m.fleet is not None),
+            "changes": sum(m.counts["log.link.up"] + m.counts["log.link.down"] for m in modules),
             "versions": Counter(str(module.following.in_force.version) for module in modules),
             "doubt": sum(bool(module.following.doubt()) for module in modules),
             "in_hand": sum(len(module.covering.items) for module in modules),
