--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ...decisions.terms import Terms
+from ...fleet.cells import Cutting
 from ...fleet.frames import VERSION, Hello
 from ...fleet.part import FleetPart
 from ...fleet.records import Txn
@@ -72,6 +73,7 @@
         self.clerk = Clerk(*given)
         self.ruling = ruling(self.me)
         self.module = module(self.me, self.ruling, self._lapsed)
+        self.cutting = Cutting(self.me, float(part.lease_s), part.cell_size, loop.now())
         self.scribe = Scribe(*given, due=self._due, lease_id=lambda: self.lessee.held)
         hello = Hello(part.name, VERSION, self.me)
         self.links = Links(loop, sock, hello, self._tell, self.module.beat, self.ruling.says, log, chance)
@@ -99,8 +101,12 @@
         due = following.due()
         if isinstance(due, Txn):
             return due
-        other = self.module.zoning.due(now, following.leased)
-        return other if isinstance(other, Txn) else min(due, other)
+        self.cutting.now = now
+        for other in (self.module.zoning.due(now, following.leased), self.cutting.due()):
+            if isinstance(other, Txn):
+                return other
+            due = min(due, other)
+        return due
 
     def policy_told(self) -> dict[str, Any]:
         """For operators: what holds, what is proposed and who has said what, what was before."""
@@ -190,6 +196,8 @@
         if isinstance(mail, Viewed):
             self.links.post(mail)
         elif isinstance(mail, Recorded):
+            self.cutting.now = self.loop.now()
+            self.cutting.recorded(mail.records)
             self.scribe.post(WAKE)
 
     def begin(self) -> None:
--- a/trials/hard.py
+++ b/trials/hard.py
@@ -108,4 +108,31 @@
         return verdict
 
 
-CASES = {"half": half, "bodies": bodies, "keeper": keeper, "woken": woken, "stopped": stopped}
+async def cut(
+    seed: int, sidecars: int = 8, root: Path = ROOT, fleet: bool = True, cell_size: int = 3
+) -> Verdict:
+    """The fleet is cut in two, and again, under load; sidecars are lost right after, and cells are joined."""
+    async with Rig(seed, sidecars, root=root, fleet=fleet, lease=1, cell_size=cell_size, cut=False) as rig:
+        sending = asyncio.create_task(rig.clients.send(80.0, 34.0, MIX, twins=0.05))
+        counts, lost = [1], 0
+        until = asyncio.get_running_loop().time() + 33.0
+        while asyncio.get_running_loop().time() < until:
+            there = next(s for s in rig.sidecars if s.alive)
+            count = (await there.told("GET", "/_fleet"))[1]["cells"]["count"]
+            if count != counts[-1]:
+                counts.append(count)
+                # At each change one is killed for good; after the last cut, all but two.
+                away = [s for s in rig.sidecars if s.alive][1:]
+                for sidecar in rig.chance.sample(away, 1 if count < rig.cells else len(away) - 1):
+                    rig.lose(sidecar)
+                    lost += 1
+                    await asyncio.sleep(rig.lease)
+            await asyncio.sleep(0.02)
+        verdict = await rig.judged(sending)
+        verdict.counts |= {"changes of the cells": len(counts) - 1, "losses": lost}
+        if counts != [1, 2, 4, 2]:
+            verdict.broken.append(f"the cells were not cut and joined as their size says: {counts}")
+        return verdict
+
+
+CASES = {"half": half, "bodies": bodies, "keeper": keeper, "woken": woken, "stopped": stopped, "cut": cut}
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -212,14 +212,17 @@
         ahead: dict[int, float] | None = None,
         memory: dict[int, float] | None = None,
         cell_size: int = 0,
+        cut: bool = True,
     ) -> None:
         """`fleet`: with arbiter, links and cover; `lease`: of a member, seconds; `cell_size`: as configured.
 
+        `cut`: begin with as many cells as that makes in the end, not with one.
+
         `ahead`: by sidecar, how much its clock is; `memory`: by sidecar, its limit where it is smaller, MB.
         """
         self.categories = categories
         self.seed, self.root, self.fleet, self.lease = seed, root, fleet, lease
-        self.cell_size = cell_size
+        self.cell_size, self.cut = cell_size, cut
         self.arbiter = Arbiter()
         self.chance = random.Random(seed)
         self.kept = tempfile.TemporaryDirectory(prefix="trial-", dir=MEMORY)
@@ -307,7 +310,7 @@
             await upstream.server.begin()
         if self.fleet:
             await self.arbiter.begin()
-        if self.cells > 1:
+        if self.cells > 1 and self.cut:
             entry = {"key": b64encode(b"/trial/cells").decode()}
             self.arbiter._put(
                 entry | {"value": b64encode(json.dumps({"count": self.cells}).encode()).decode()}
@@ -331,7 +334,7 @@
         alive = [s for s in self.sidecars if s.alive]
         while asyncio.get_running_loop().time() < until:
             if self.cell_size:
-                seen = [await s.sees_cells(members, self.cells) for s in alive]
+                seen = [await s.sees_cells(members, self.cells if self.cut else 1) for s in alive]
             else:
                 seen = [s.sees(members) for s in alive]
             if all(seen):
