--- a/starlingwheel/net/fleet/policy.py
+++ b/starlingwheel/net/fleet/policy.py
@@ -19,7 +19,6 @@
 from ...fleet.part import CoverPart, FleetPart, ZonesPart
 from ...fleet.policy import WORD, Following, Kept
 from ...fleet.records import Decision, Policy
-from ...fleet.view import place
 from ..actor import Actor, Coroutine
 from ..lifecycle.config import Config, Unusable, standing, terms_of
 from .links import Inquiry, Links
@@ -249,15 +248,15 @@
         there = {m.name: m.address for m in view.members.values()}
         heard = {view.members[m].name for m in self.links.links if m in view}
         known = {name: at for name, at in self.following.kept.addresses.items() if name not in there}
-        mine, ours = there.get(self.following.name, ""), place(self.following.name.encode()) % view.cells
+        mine, ours = there.get(self.following.name, ""), view.cell_of(self.following.me)
         groups: dict[int | str, list[str]] = {}
         for name, address in (known | there).items():
             if name not in heard and address and address != mine:
-                cell = place(name.encode()) % view.cells
+                cell = view.cell_of(f"{name}.")
                 groups.setdefault(name if cell == ours else cell, []).append(address)
         latest: dict[int | str, float] = {}
         for word in words.values():
-            cell = place(word.name.encode()) % view.cells
+            cell = view.cell_of(word.member)
             group = word.name if cell == ours else cell
             latest[group] = max(word.at, latest.get(group, -inf))
         self.asked = {group: at for group, at in self.asked.items() if group in groups}
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -7,9 +7,9 @@
 import msgspec
 import pytest
 
-from starlingwheel.fleet import frames
+from starlingwheel.fleet import common, frames
 from starlingwheel.fleet.policy import Following, Kept, Word
-from starlingwheel.fleet.records import Records
+from starlingwheel.fleet.records import Decision, Policy, Records
 from starlingwheel.fleet.view import Member, View
 from starlingwheel.net.fleet import arbiter as client
 from starlingwheel.net.fleet import links as under_test
@@ -470,13 +470,18 @@
         self.asks += 1
         self.following.now = self.loop.now()
         others = self.following.lately(self.links.links, frames.RELAYED)
-        return [frames.Says(self.following.word(), others)]
+        says = [frames.Says(self.following.word(), others)]
+        if self.following.known > asked.known:
+            says.append(frames.Given(msgspec.json.encode(self.following.decision)))
+        return says
 
     def tell(self, mail):
         self.following.now = self.loop.now()
         if isinstance(mail, Framed) and isinstance(mail.frame, frames.Says):
             for word in (mail.frame.word, *mail.frame.others):
                 self.following.heard(word)
+        elif isinstance(mail, Framed) and isinstance(mail.frame, frames.Given):
+            self.following.told(msgspec.json.decode(mail.frame.decision, type=Decision))
         elif isinstance(mail, Framed) and getattr(mail.frame, "word", None):
             self.following.heard(mail.frame.word)
 
@@ -572,6 +577,17 @@
     assert all(not one.following.uneasy for one in realm.all[1:])
 
 
+def test_what_a_single_member_knows_to_be_decided_all_come_to_know(make_realm):
+    realm = make_realm(4, 24, 8)
+    realm.let_pass(1.5 * LEASE)
+    body = {"settings": {}}
+    policy = Policy(1, common.digest(body), body)
+    realm.all[5].following.told(Decision(policy, realm.clock() + 60.0, 7, Policy()))
+    unlinked = [one for one in realm.all if realm.all[5].id not in one.links.links]
+    assert len(unlinked) > 12
+    realm.until(lambda: all(one.following.known == 1 for one in unlinked), within=1.25 * LEASE)
+
+
 def test_a_word_counts_by_its_own_age_whoever_passes_it_on():
     members = {f"n{i}.00": Member(f"n{i}.00", f"n{i}", "") for i in range(3)}
     records = Records()
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -15,6 +15,7 @@
 from standins.arbiter import Arbiter
 from starlingwheel.fleet import frames
 from starlingwheel.fleet.part import decode
+from starlingwheel.fleet.policy import Word
 from starlingwheel.fleet.view import Member, View
 from starlingwheel.net.fleet import arbiter as client
 from starlingwheel.net.fleet.links import Reader, Refused, framed
@@ -59,6 +60,10 @@
         decode(wrong, NAMES, 1)
 
 
+def a_word():
+    return Word("n1.ab", "n1", 3.5, 4, "0a", float("inf"), 4, 5, True)
+
+
 def some_frames():
     asked = frames.Asked(b"POST", b"/buy/1", [(b"a", b"b")], b"x" * 30, b"t")
     intent = frames.Intent("u1", "north", 3, 12.5)
@@ -68,6 +73,9 @@
         frames.Intend(b"k", 0, 1, intent),
         frames.Kept(b"k", 0, frames.NEW, 1, frames.Reply(200, 0.0, b"", b"y" * 10)),
         frames.Beat(7, False),
+        frames.Beat(7, True, a_word(), True, True),
+        frames.Says(a_word(), [a_word(), a_word()]),
+        frames.Rest(),
     ]
 
 
