--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -80,6 +80,7 @@
 
     def __init__(self, seed=1):
         self.all, self.chance, self.clock = [], random.Random(seed), Clock()
+        self.step = STEP
 
     def add(self, name, **more):
         self.all.append(One(self.clock, name, **more))
@@ -93,7 +94,7 @@
     def turn(self):
         for one in self.chance.sample(self.all, self.chance.randint(1, len(self.all))):
             one.loop.turn(0)
-        self.clock.time += STEP
+        self.clock.time += self.step
 
     def until(self, happened, within=8.0):
         end = self.clock() + within
@@ -416,6 +417,29 @@
         assert 2 <= len(each.heard(Framed)) - counts[each.id] <= 4
 
 
+@pytest.mark.parametrize(("count", "silent"), [(25, 14.4), (41, 24.0)])
+def test_a_cell_at_rest_says_a_few_words_a_second_whatever_its_size(make_town, count, silent):
+    town = make_town()
+    for number in range(count):
+        town.add(f"n{number:03d}")
+    town.see(1)
+    town.until(lambda: all(len(one.links.links) == count - 1 for one in town.all))
+    town.step = 0.02
+    town.let_pass(20.0)
+    before = [len(one.heard(Framed)) for one in town.all]
+    town.let_pass(40.0)
+    for one, heard in zip(town.all, before, strict=True):
+        assert len(one.heard(Framed)) - heard <= 1.1 * 40.0 * under_test.A_SECOND
+        assert len(one.links.links) == count - 1 and not one.heard(LinkDown)
+    # One that hangs is noticed by all in three times the pause between beats, as the page says.
+    hung = town.all.pop()
+    town.let_pass(silent - under_test.IDLE[1])
+    at = town.clock()
+    town.until(lambda: all(hung.id not in one.up() for one in town.all), within=60.0)
+    assert town.clock() - at < under_test.IDLE[1] + 1.0
+    town.all.append(hung)
+
+
 # Which policy holds, while the arbiter is gone and each has links with its own cell only.
 
 LEASE = 1.0
--- a/trials/hard.py
+++ b/trials/hard.py
@@ -121,8 +121,10 @@
             count = (await there.told("GET", "/_fleet"))[1]["cells"]["count"]
             if count != counts[-1]:
                 counts.append(count)
-                # At each change one is killed for good; after the last cut, all but two.
-                away = [s for s in rig.sidecars if s.alive][1:]
+                # At each cut one is killed for good; at the last one all but two.
+                away = [s for s in rig.sidecars if s.alive and count > counts[-2]][1:]
+                if not away:
+                    continue
                 for sidecar in rig.chance.sample(away, 1 if count < rig.cells else len(away) - 1):
                     rig.lose(sidecar)
                     lost += 1
