--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -23,6 +23,13 @@
     assert counts["finished"] >= counts["work"] - counts["in hand at the loss"] - 4
 
 
+def test_the_same_where_the_fleet_is_cut_into_cells():
+    verdict = asyncio.run(loss.play(3, sidecars=8, rate=100, cell_size=3))
+    counts = verdict.counts
+    assert verdict.kept, verdict.broken
+    assert counts["in hand at the loss"] and counts["of these ran twice"] == 0
+
+
 def test_the_rig_sees_what_runs_twice_where_nothing_covers_it():
     verdict = asyncio.run(loss.play(1, fleet=False, rate=200))
     assert not verdict.kept and verdict.counts["of these ran twice"]
