--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -7,9 +7,9 @@
 import msgspec
 import pytest
 
-from starlingwheel.fleet import frames
+from starlingwheel.fleet import common, frames
 from starlingwheel.fleet.policy import Following, Kept, Word
-from starlingwheel.fleet.records import Records
+from starlingwheel.fleet.records import Decision, Policy, Records
 from starlingwheel.fleet.view import Member, View
 from starlingwheel.net.fleet import arbiter as client
 from starlingwheel.net.fleet import links as under_test
@@ -80,6 +80,7 @@
 
     def __init__(self, seed=1):
         self.all, self.chance, self.clock = [], random.Random(seed), Clock()
+        self.step = STEP
 
     def add(self, name, **more):
         self.all.append(One(self.clock, name, **more))
@@ -93,7 +94,7 @@
     def turn(self):
         for one in self.chance.sample(self.all, self.chance.randint(1, len(self.all))):
             one.loop.turn(0)
-        self.clock.time += STEP
+        self.clock.time += self.step
 
     def until(self, happened, within=8.0):
         end = self.clock() + within
@@ -416,6 +417,29 @@
         assert 2 <= len(each.heard(Framed)) - counts[each.id] <= 4
 
 
+@pytest.mark.parametrize(("count", "silent"), [(25, 14.4), (41, 24.0)])
+def test_a_cell_at_rest_says_a_few_words_a_second_whatever_its_size(make_town, count, silent):
+    town = make_town()
+    for number in range(count):
+        town.add(f"n{number:03d}")
+    town.see(1)
+    town.until(lambda: all(len(one.links.links) == count - 1 for one in town.all))
+    town.step = 0.02
+    town.let_pass(20.0)
+    before = [len(one.heard(Framed)) for one in town.all]
+    town.let_pass(40.0)
+    for one, heard in zip(town.all, before, strict=True):
+        assert len(one.heard(Framed)) - heard <= 1.1 * 40.0 * under_test.A_SECOND
+        assert len(one.links.links) == count - 1 and not one.heard(LinkDown)
+    # One that hangs is noticed by all in three times the pause between beats, as the page says.
+    hung = town.all.pop()
+    town.let_pass(silent - under_test.IDLE[1])
+    at = town.clock()
+    town.until(lambda: all(hung.id not in one.up() for one in town.all), within=60.0)
+    assert town.clock() - at < under_test.IDLE[1] + 1.0
+    town.all.append(hung)
+
+
 # Which policy holds, while the arbiter is gone and each has links with its own cell only.
 
 LEASE = 1.0
@@ -470,13 +494,18 @@
         self.asks += 1
         self.following.now = self.loop.now()
         others = self.following.lately(self.links.links, frames.RELAYED)
-        return [frames.Says(self.following.word(), others)]
+        says = [frames.Says(self.following.word(), others)]
+        if self.following.known > asked.known:
+            says.append(frames.Given(msgspec.json.encode(self.following.decision)))
+        return says
 
     def tell(self, mail):
         self.following.now = self.loop.now()
         if isinstance(mail, Framed) and isinstance(mail.frame, frames.Says):
             for word in (mail.frame.word, *mail.frame.others):
                 self.following.heard(word)
+        elif isinstance(mail, Framed) and isinstance(mail.frame, frames.Given):
+            self.following.told(msgspec.json.decode(mail.frame.decision, type=Decision))
         elif isinstance(mail, Framed) and getattr(mail.frame, "word", None):
             self.following.heard(mail.frame.word)
 
@@ -572,6 +601,17 @@
     assert all(not one.following.uneasy for one in realm.all[1:])
 
 
+def test_what_a_single_member_knows_to_be_decided_all_come_to_know(make_realm):
+    realm = make_realm(4, 24, 8)
+    realm.let_pass(1.5 * LEASE)
+    body = {"settings": {}}
+    policy = Policy(1, common.digest(body), body)
+    realm.all[5].following.told(Decision(policy, realm.clock() + 60.0, 7, Policy()))
+    unlinked = [one for one in realm.all if realm.all[5].id not in one.links.links]
+    assert len(unlinked) > 12
+    realm.until(lambda: all(one.following.known == 1 for one in unlinked), within=1.25 * LEASE)
+
+
 def test_a_word_counts_by_its_own_age_whoever_passes_it_on():
     members = {f"n{i}.00": Member(f"n{i}.00", f"n{i}", "") for i in range(3)}
     records = Records()
