--- a/trials/model.py
+++ b/trials/model.py
@@ -21,6 +21,7 @@
 MEMBERS = ("a", "b", "c")
 EXPIRY = 100.0
 Event = tuple[str, ...]
+QUIET: Event = ("quiet",)
 
 
 @dataclass(frozen=True)
@@ -37,6 +38,9 @@
     recuts: int = 0  # one cell into two, or two into one
     misses: int = 0  # a link that is reached for does not come up, though its member lives
     rests: int = 0  # a link between cells that neither side needs ends
+    linked: bool = False  # there are links between cells too, as if left by work before
+    fall: tuple[str, ...] = ()  # who may crash; empty: anybody
+    begun: tuple[Event, ...] = ()  # what has happened before; `QUIET`: all words have arrived
 
 
 class Client:
@@ -68,6 +72,7 @@
     told_view: dict[str, int] = field(default_factory=dict)  # which of them each has seen last
     reaching: set[tuple[str, str]] = field(default_factory=set)
     last: str = ""
+    fall: tuple[str, ...] = ()
 
     @property
     def view(self) -> View:
@@ -76,6 +81,7 @@
     def begin(self, bounds: Bounds) -> Model:
         members = [Member(name, name, "", name) for name in bounds.members]
         self.views, self.last = [View(members, bounds.cells)], bounds.members[-1]
+        self.fall = bounds.fall
         bounded = ("crashes", "cuts", "again", "twins", "recuts", "misses", "rests")
         self.left = {name: getattr(bounds, name) for name in bounded}
         for name in bounds.members:
@@ -86,19 +92,26 @@
             for other in bounds.members:
                 if one != other:
                     self.queues[one, other] = deque()
-                    if self._peers(one, other):
+                    if bounds.linked or self._peers(one, other):
                         self.links.add((one, other))
         for name in bounds.members:
             self.covers[name].viewed(self.view, True)
         for one, other in sorted(self.links):
             self.covers[one].up(other)
-        while self.reaching:
-            self.do(("reaches", *min(self.reaching)))
-        while any(self.queues.values()):
+        for event in (QUIET, *bounds.begun):
+            if event == QUIET:
+                self._quiet()
+            else:
+                self.do(event)
+        return self
+
+    def _quiet(self) -> None:
+        while self.reaching or any(self.queues.values()):
+            for way in sorted(self.reaching):
+                self.do(("reaches", *way))
             for way in self.queues:
                 if self.queues[way]:
                     self.do(("arrives", *way))
-        return self
 
     # What may happen next.
 
@@ -117,7 +130,7 @@
         for name in self.covers:
             if self.told_view[name] < len(self.views) - 1:
                 yield ("views", name)
-            if self.left["crashes"] and len(self.covers) > 2:
+            if self.left["crashes"] and len(self.covers) > 2 and name in (self.fall or self.covers):
                 yield ("crashes", name)
         if self.left["cuts"]:
             for one, other in sorted(self.links):
