--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from . import cost, hard, loss, policy, storm, zones
+from . import call_tree, cost, hard, loss, outage, policy, storm, zones
 from .rig import ROOT
 
 TRIALS = {
@@ -16,15 +16,21 @@
     "losses": storm.losses,
     "storm": storm.storm,
     "cost": cost.play,
+    "outage": outage.play,
     "policy": policy.changes,
     **hard.CASES,
     **policy.CASES,
     **zones.TRIALS_OF_ZONES,
 }
+# Trials with a command line of their own.
+OWN = {"call-tree": call_tree.main}
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(prog="python -m trials", description=__doc__)
+    if sys.argv[1:] and sys.argv[1] in OWN:
+        return OWN[sys.argv[1]](sys.argv[2:])
+    own = f"With a command line of their own: {', '.join(OWN)}."
+    parser = argparse.ArgumentParser(prog="python -m trials", description=__doc__, epilog=own)
     parser.add_argument("trial", choices=TRIALS)
     parser.add_argument("--seed", type=int, default=1, help="names the timetable of faults (default: 1)")
     parser.add_argument("--seeds", type=int, default=1, help="so many seeds in a row (default: 1)")
--- a/trials/call_tree.py
+++ b/trials/call_tree.py
@@ -1,9 +1,10 @@
-"""Calls down a tree of services in emulated time: what second sends, retries and time left come to at the leaf.
+"""Calls down a tree of services in emulated time: what second sends and retries come to at the leaf.
 
 Each caller has the program's own `Runner` and `Balancer` for each service that it calls, which are all of the
-next level; the servers of those are its callers. Each call goes to one of the services, by chance. This class of program plays servers, ways and applications, by the plainest
+next level; the servers of those are its callers. Which service of each level a call at the root needs is
+drawn once, for all that is made for it. This module plays servers, ways and applications, by the plainest
 rules: an application does its own work, calls the next level with the time that it has left, and answers with
-an error where that call gave nothing. No sockets, no `fleet` part, seeded: the same seed gives the same counts.
+an error where that call gave nothing. No sockets, no `fleet` part; the same seed gives the same counts.
 
 The load at a level is the sends that reach it for each call at the root: 1 where nobody sends twice.
 """
@@ -20,7 +21,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from starlingwheel.decisions.rules import Balancer
+from starlingwheel.decisions.rules import Balancer, Upstream
 from starlingwheel.decisions.runner import Runner
 from starlingwheel.decisions.terms import (
     Category,
@@ -48,6 +49,7 @@
 
     `budget`: second sends that a sidecar may make for each first send; None: as the program is, no bound.
     `tells`: an application that has been left leaves its own call too. `hands_down`: it tells the time left.
+    `regains`: what-if: work that finds nobody counts for the part of trials, as a hand-off does.
     `reports`: each answer says how many its server holds, and how busy it is.
     """
 
@@ -65,6 +67,7 @@
     most_hand_offs: int = 3
     copies: bool = True
     budget: float | None = None
+    regains: bool = False
     tells: bool = True
     hands_down: bool = True
     reports: bool = True
@@ -79,8 +82,8 @@
         wrong = [f"scene: {self.scene!r} is none of {', '.join(SCENES)}"] if self.scene not in SCENES else []
         for name, least, most in (
             ("depth", 1, 12), ("services", 1, 64), ("instances", 1, 256), ("rate", 0.1, 1e5),
-            ("use", 0.001, 0.95), ("part", 0.0, 1.0), ("lasts", 0.0, 600.0), ("cores", 1, 256), ("most_hand_offs", 1, 16), ("due", 0.01, 60.0),
-            ("learn", 0.0, 600.0), ("last", 0.1, 600.0),
+            ("use", 0.001, 0.95), ("part", 0.0, 1.0), ("lasts", 0.0, 600.0), ("cores", 1, 256),
+            ("most_hand_offs", 1, 16), ("due", 0.01, 60.0), ("learn", 0.0, 600.0), ("last", 0.1, 600.0),
         ):  # fmt: skip
             value = getattr(self, name)
             if not least <= value <= most:
@@ -91,7 +94,9 @@
             wrong.append(f"effect: {self.effect!r} is unknown")
         calls = self.rate * self.services * self.instances * self.depth * (self.learn + self.last)
         if not wrong and 8 * calls > self.most:
-            wrong.append(f"{calls:.0f} calls are more than {self.most} events allow; ask for fewer or less long")
+            wrong.append(
+                f"{calls:.0f} calls are more than {self.most} events allow; ask for fewer or less long"
+            )
         return wrong
 
 
@@ -110,13 +115,31 @@
         self.left -= 1
 
 
-class Bounded(Balancer):
-    """The program's rules, and a second send only while the budget allows one."""
+class WhatIf(Balancer):
+    """The program's rules, and what they would give with less or more; nothing of it is in the program."""
 
-    budget: Budget
+    budget: Budget | None = None
+    regains = False
 
     def _may_send(self, wi: WorkItem, handed: list[HandOff]) -> bool:
-        return self.budget.left >= 1 and super()._may_send(wi, handed)
+        if self.budget is not None and self.budget.left < 1:
+            return False
+        return super()._may_send(wi, handed)
+
+    def _draw(self, *given: Any, **more: Any) -> Upstream | None:
+        drawn = super()._draw(*given, **more)
+        if drawn is None and self.regains:
+            # Guards against a sidecar whose upstreams are all set aside trying none of them ever again.
+            self.trials = min(1.0, self.trials + self.trial)
+        return drawn
+
+
+@dataclass(frozen=True)
+class Root:
+    """A call at the root: whether it counts, and which service at each level it is for."""
+
+    measured: bool
+    path: tuple[int, ...]
 
 
 @dataclass(eq=False)
@@ -127,7 +150,7 @@
     caller: Caller
     server: Server
     until: float
-    root: bool
+    root: Root
     left: bool = False
     below: Caller | None = None
     child: WorkItem | None = None
@@ -142,7 +165,7 @@
     done: Callable[[bool], None]
     at: float
     told: float
-    measured: bool
+    root: Root
     sends: int = 0
     calls: dict[HandOff, Call] = field(default_factory=dict)
     answered: bool = False
@@ -163,19 +186,19 @@
         chance = random.Random(f"{plan.seed} {number} {servers[0].name}")
         self.runner = Runner(terms, chance, self, tree.now)
         self.budget = Budget(plan.budget) if plan.budget is not None else None
-        if self.budget is not None:
-            bounded = self.runner.balancer = Bounded(terms, chance, tree.now)
-            bounded.budget = self.budget
+        if self.budget is not None or plan.regains:
+            what_if = self.runner.balancer = WhatIf(terms, chance, tree.now)
+            what_if.budget, what_if.regains = self.budget, plan.regains
         self.asked: dict[WorkItem, Asked] = {}
         listings = [Listing(s.name, "here", 0, 1.0, None, Condition.READY) for s in servers]
         self.runner.listed(News.WHOLE, listings)
         self.runner.start()
 
-    def ask(self, patience: float, measured: bool, done: Callable[[bool], None]) -> WorkItem:
+    def ask(self, patience: float, root: Root, done: Callable[[bool], None]) -> WorkItem:
         """Call the next level; `done` is told whether that was answered."""
         self.runner.at(self.tree.now)
         wi = WorkItem(self.tree.category, self.tree.now, min(patience, self.tree.category.expiry))
-        self.asked[wi] = Asked(done, self.tree.now, wi.patience, measured)
+        self.asked[wi] = Asked(done, self.tree.now, wi.patience, root)
         if self.budget is not None:
             self.budget.first()
         self.runner.take(wi)
@@ -224,11 +247,11 @@
         if self.budget is not None and kind != "first":
             self.budget.second()
         tree, server = self.tree, self.servers[ho.upstream.address]
-        tree.count(self.level, kind, asked.measured)
+        tree.count(self.level, kind, asked.root.measured)
         # As the program tells it: whole milliseconds, one at least.
         told = max(1, int(limit * 1000)) / 1000 if tree.plan.hands_down else tree.category.expiry
-        call = asked.calls[ho] = Call(ho, self, server, tree.now + told, asked.measured)
-        if asked.measured:
+        call = asked.calls[ho] = Call(ho, self, server, tree.now + told, asked.root)
+        if asked.root.measured:
             tree.left[self.level].append(told)
             tree.longer += told > asked.told + 0.001
         tree.after(tree.way(), lambda: server.take(call))
@@ -299,7 +322,7 @@
             call.waits = False
             self.busy += 1
             took = self.tree.work() * self.slow
-            if call.root:
+            if call.root.measured:
                 self.tree.ran[self.level] += 1
                 self.tree.late[self.level] += self.tree.now + took > call.until
             self.tree.after(took, lambda c=call: self._worked(c))
@@ -314,7 +337,7 @@
             elif (left := call.until - self.tree.now) <= 0:
                 self._answer(call, Fate.ERROR)
             else:
-                call.below = self.tree.chance.choice(self.below)
+                call.below = self.below[call.root.path[self.level + 1]]
                 call.child = call.below.ask(left, call.root, lambda well, c=call: self._back(c, well))
         self._next()
 
@@ -400,7 +423,7 @@
                 self.by_tenth[int((self.now - self.plan.learn) * 10)] += 1
 
     def answered(self, how: str, level: int, asked: Asked) -> None:
-        if level == 0 and asked.measured:
+        if level == 0 and asked.root.measured:
             self.answers[how] += 1
             self.well_by_second[int(asked.at - self.plan.learn)] += how == "finished"
 
@@ -409,7 +432,8 @@
         measured = self.now >= plan.learn
         self.roots += measured
         self.begun_by_second[int(self.now - plan.learn)] += measured
-        self.chance.choice(callers).ask(EXPIRY * plan.due, measured, lambda well: None)
+        root = Root(measured, tuple(self.chance.randrange(plan.services) for _ in range(plan.depth)))
+        callers[root.path[0]].ask(EXPIRY * plan.due, root, lambda well: None)
         self._again(callers)
 
     def _again(self, callers: list[Caller]) -> None:
@@ -423,7 +447,10 @@
         if plan.scene == "slow":
             leaf[0].slow = SLOW
         for server in leaf[: plan.instances]:
-            server.fails, server.hangs = plan.part * (plan.scene == "errors"), plan.part * (plan.scene == "hangs")
+            server.fails, server.hangs = (
+                plan.part * (plan.scene == "errors"),
+                plan.part * (plan.scene == "hangs"),
+            )
             if server.hangs == 1:
                 server.line.clear()
 
@@ -487,19 +514,34 @@
 
 def table(told: list[dict[str, Any]]) -> str:
     """Results beside each other, in markdown."""
-    head = ["scene", "effect", "budget", "seed", "load at the leaf", "by second", "most in 0.1 s", "answered", "by second", "copies", "retries"]
+    head = [
+        "scene",
+        "effect",
+        "budget",
+        "seed",
+        "load at the leaf",
+        "by second",
+        "most in 0.1 s",
+        "answered",
+        "by second",
+        "copies",
+        "retries",
+    ]
     rows = [head, ["---"] * len(head)]
     for one in told:
         answers = one["answers"]
         finished = answers.get("finished", 0) / max(1, one["calls at the root"])
         copies, retries = (max(level[kind] for level in one["levels"]) for kind in ("copy", "retry"))
         budget = "none" if one["budget"] is None else f"{one['budget']:.0%}"
+        scene = one["scene"] + (f" {one['part']:.0%}" if one["part"] < 1 else "")
+        scene += f", {one['services']} services" + (", regains" if one["regains"] else "")
         load = ", ".join(f"{each:.2f}" for each in one["by second"])
         well = ", ".join(f"{each:.0%}" for each in one["answered by second"])
         rows.append(
             [
-                one["scene"], one["effect"], budget, str(one["seed"]), f"{one['load at the leaf']:.2f}",
-                load, f"{one['most in a tenth']:.2f}", f"{finished:.1%}", well, f"{copies:.1%}", f"{retries:.1%}",
+                scene, one["effect"], budget, str(one["seed"]), f"{one['load at the leaf']:.2f}",
+                load, f"{one['most in a tenth']:.2f}",
+                f"{finished:.1%}", well, f"{copies:.1%}", f"{retries:.1%}",
             ]
         )  # fmt: skip
     return "\n".join("| " + " | ".join(row) + " |" for row in rows)
@@ -520,6 +562,7 @@
         parser.add_argument(f"--{name}", type=float, default=default, help=f"(default: {default})")
     parser.add_argument("--no-copies", dest="copies", action="store_false", help="copies are not allowed")
     parser.add_argument("--not-told", dest="tells", action="store_false", help="who is left goes on calling")
+    parser.add_argument("--regains", action="store_true", help="what-if: who finds nobody may try sooner")
     parser.add_argument("--no-reports", dest="reports", action="store_false", help="answers tell no load")
     parser.add_argument("--table", action="store_true", help="a table at the end")
     told = vars(parser.parse_args(given))
