--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from . import call_tree, cost, hard, loss, outage, policy, storm, zones
+from . import call_tree, capacity, cost, hard, loss, outage, policy, storm, zones
 from .rig import ROOT
 
 TRIALS = {
@@ -23,7 +23,7 @@
     **zones.TRIALS_OF_ZONES,
 }
 # Trials with a command line of their own.
-OWN = {"call-tree": call_tree.main}
+OWN = {"call-tree": call_tree.main, "capacity": capacity.main}
 
 
 def main() -> int:
--- /dev/null
+++ b/trials/capacity.py
@@ -0,0 +1,697 @@
+"""What a fleet of some size costs, role by role: the arithmetic behind docs/CAPACITY.md.
+
+`python -m trials capacity --measure` times the program's own code in this process, at several sizes, and
+prints a line of JSON for each figure. `python -m trials capacity` reads those lines and prints the tables in
+markdown. Each figure says what it is: measured, extrapolated (a fit past its last size), read (worked out
+from the code's constants and the sizes of its messages, never run at that size), published, or paper.
+
+The constants come from the code itself: what is changed there is changed here.
+"""
+
+from __future__ import annotations
+
+import argparse
+import base64
+import json
+import random
+import sys
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from math import exp, log, nan
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from starlingwheel.decisions.rules import HEARD, Balancer
+from starlingwheel.decisions.terms import Category, Condition, Effect, Listing, News, Terms
+from starlingwheel.fleet import policy, zones
+from starlingwheel.fleet.frames import Answered, Asked, Beat, Cover, Frame, Intend, Intent, Kept, Reply, Told
+from starlingwheel.fleet.policy import Following, Word
+from starlingwheel.fleet.records import Change, Decision, Policy, Records, Said, Seen
+from starlingwheel.fleet.view import Member, View
+from starlingwheel.net.fleet import arbiter, links
+from starlingwheel.net.loop import Loop
+from starlingwheel.net.memory.buffers import Pool
+
+ROOT = Path(__file__).parent.parent
+MICRO = ROOT / "journal" / "capacity" / "micro.jsonl"
+SIZES = (50, 200, 400, 800, 1600)
+DAY = 86400.0
+HEADERS = 52  # bytes: IPv4, TCP with its timestamps
+FRAMING = 350  # bytes of an HTTP/1.1 call of the arbiter and its answer beside their bodies, about
+LEASE = 3.0
+FLEET = "fleet"
+
+
+@dataclass(frozen=True)
+class Size:
+    """What is coming, by the operators' table."""
+
+    sidecars: int = 1600
+    services: int = 310
+    calls: float = 550_000.0  # a second
+    depth: int = 7
+    regions: int = 3
+    zones: int = 11
+    changes: float = 2700.0  # of configuration, a day
+    force: float = 9.0  # seconds within which one is in force
+    restarts: float = 260.0  # a day
+    machines_lost: float = 3.0  # a day
+    rack: int = 40  # sidecars of a rack: assumed, nobody has told it
+    named: float = 0.25  # part of the calls that have a name: assumed
+    policy: int = 4096  # bytes of a policy as text: assumed
+    linger: float = 4.0  # seconds that a link outside the cell stays: words, both sides idle
+    due: float = 1.0  # shortest due time, seconds: assumed
+
+    @property
+    def rate(self) -> float:
+        return self.calls / self.sidecars
+
+    @property
+    def views(self) -> float:
+        """Changes of the view, a second: each restart is a loss and an entry."""
+        return 2 * self.restarts / DAY
+
+    @property
+    def zone(self) -> int:
+        return round(self.sidecars / self.zones)
+
+    @property
+    def region(self) -> int:
+        return round(self.sidecars / self.regions)
+
+
+BYTES, CORE, MEMORY, SOCKETS = 3000.0, 1.3, 256.0, 512.0  # a second; per cent; MB; the lower of the limits
+
+# A fleet of real processes at rest, main 1343230: members, bytes sent a second, segments out a second, per
+# cent of a core, sockets, MB. Payload by the kernel's own counts, each figure a member.
+REST = (
+    (5, 413.0, 10.0, 0.43, 6.8, 23.0),
+    (10, 710.0, 20.0, 0.46, 11.9, 23.0),
+    (15, 1001.0, 29.0, 0.49, 16.3, 23.0),
+    (18, 1179.0, 35.0, 0.60, 19.1, 23.0),
+)
+
+
+def line(points: Iterable[tuple[float, float]]) -> tuple[float, float, float]:
+    """A straight line by least squares: what it is at none, what each adds, the largest residual."""
+    points = list(points)
+    n = len(points)
+    x, y = sum(p[0] for p in points) / n, sum(p[1] for p in points) / n
+    slope = sum((px - x) * (py - y) for px, py in points) / sum((px - x) ** 2 for px, _ in points)
+    at_none = y - slope * x
+    return at_none, slope, max(abs(at_none + slope * px - py) for px, py in points)
+
+
+def power(points: Iterable[tuple[float, float]]) -> float:
+    """The exponent of growth: 0 is flat, 1 is by the size, 2 is by its square."""
+    return line((log(x), log(y)) for x, y in points)[1]
+
+
+# What is timed: the program's own code, at several sizes, in this process.
+
+
+def members(count: int, zones_: int = 11) -> list[Member]:
+    return [
+        Member(f"orders-{i:04d}.{i * 7919:012x}", f"orders-{i:04d}", f"10.{i % 11}.{i // 250}.{i % 250}:7950",
+               f"zone-{i % zones_}", 0, 1000 + i)
+        for i in range(count)
+    ]  # fmt: skip
+
+
+def word(member: Member) -> Word:
+    return Word(
+        member.id, member.name, 1780000000.123456, 41, "0123456789abcdef", float("inf"), 41, 123456, True
+    )
+
+
+def frames() -> dict[str, Frame]:
+    """One of each that counts, as they are said."""
+    me, at = members(1)[0], 1780000000.123456
+    key, mark = b"order\x00" + b"k" * 32, b"m" * 8
+    headers = [(b"host", b"orders.internal"), (b"x-qos", b"order"), (b"x-expires-in-ms", b"1900")]
+    headers += [(b"x-work-name", b"k" * 32), (b"x-trace-id", b"t" * 32), (b"content-type", b"text/plain")]
+    asked = Asked(b"POST", b"/order/1", headers, b"b" * 256, b"t" * 32)
+    rules = Category("order", Effect.EXCLUSIVE, 1.0, 8.0, 2.0)
+    return {
+        "beat": Beat(1 << 54, False, word(me)),
+        "told": Told(1 << 54),
+        "cover": Cover(
+            key, me.id, 0, True, mark, "order", "exclusive", at, at, False, asked, [], False, rules
+        ),
+        "intend": Intend(key, 0, 0, Intent("10.0.0.1:8080", "zone-1", 3, at)),
+        "kept": Kept(key, 0, "new", 1),
+        "answered": Answered(key, 0, Reply(200, 0.0, b"application/json", b"a" * 256)),
+    }
+
+
+def timed(what: Callable[[], Any], least: float = 0.15) -> float:
+    """Microseconds of processor time each, the best of three."""
+    best = float("inf")
+    for _ in range(3):
+        times, begun = 0, time.process_time()
+        while time.process_time() < begun + least / 3:
+            what()
+            times += 1
+        best = min(best, (time.process_time() - begun) / times)
+    return best * 1e6
+
+
+class Quiet:
+    """A door that nothing comes through."""
+
+    def check(self, body: Any) -> str:
+        return ""
+
+    def keep(self, kept: Any) -> None: ...
+
+    def kept(self) -> str | None:
+        return ""
+
+    def rule(self, policy_: Any) -> None: ...
+
+    def ask(self, member: str) -> None: ...
+
+    def note(self, event: str, **fields: Any) -> None: ...
+
+    def shares(self, shares: Any, back: Any) -> None: ...
+
+
+def b64(data: bytes | str) -> str:
+    return base64.b64encode(data if isinstance(data, bytes) else data.encode()).decode()
+
+
+def event(key: str, value: bytes, mod: int) -> bytes:
+    """A line of a watch with one event, as the gateway writes it."""
+    head = {"cluster_id": "14841639068965178418", "member_id": "10276657743932975437", "raft_term": "3"}
+    pair = {"key": b64(f"/{FLEET}/{key}"), "value": b64(value), "create_revision": str(mod)}
+    pair |= {"mod_revision": str(mod), "version": "1", "lease": "7587862094990423573"}
+    told = {"result": {"header": head | {"revision": str(mod)}, "events": [{"kv": pair}]}}
+    return json.dumps(told, separators=(",", ":")).encode()
+
+
+def seen(chance: random.Random) -> Seen:
+    return Seen(round(chance.uniform(1, 60), 2), round(chance.uniform(1, 60), 2), counted=90, row=0)
+
+
+def said(member: int, zones_: int = 11) -> Said:
+    chance = random.Random(member)
+    return Said(1780000000.123456, {f"zone-{z}": seen(chance) for z in range(zones_)})
+
+
+class Bench:
+    """A member's own code at the arbiter's end, in a fleet of so many; no socket is opened."""
+
+    def __init__(self, count: int) -> None:
+        self.count, self.members = count, members(count)
+        self.now = 1780000000.0
+        loop = Loop(lambda *_: None)
+        self.recorded: Any = None
+        self.onlooker = arbiter.Onlooker(
+            loop, ["127.0.0.1:1"], LEASE, Pool(0), lambda *_, **__: None, random.Random(1), FLEET,
+            tell=self._tell,
+        )  # fmt: skip
+        me = self.members[0]
+        self.me = me.id
+        body = {"settings": {"categories": []}, "cover": {}}
+        held = Policy(41, "d" * 16, body)
+        change = Change(Policy(42, "e" * 16, body), self.now + 9, self.now, me.id)
+        records = self.onlooker.records = Records()
+        records.members = {m.id: m for m in self.members}
+        records.names = {m.name: m.term for m in self.members}
+        records.now, records.now_mod = Decision(held, self.now, 5, held), 6
+        records.next, records.next_mod = msgspec.structs.replace(change, number=7), 7
+        records.said = {m.id: said(i) for i, m in enumerate(self.members)}
+        self.onlooker.revision = records.revision = 10_000
+        self.following = Following(me.id, me.name, LEASE, Quiet(), self.now, policy.Kept(FLEET))
+        self.following.sure = True
+        self.following.renewed(self.now + LEASE, 1)
+        noting = zones.Noting(2.0, self.now)
+        self.planning = zones.Planning(me.id, LEASE, {}, {}, Quiet(), noting)
+        self.revision = 10_000
+        loop.close()
+
+    def _tell(self, mail: Any) -> None:
+        if hasattr(mail, "records"):
+            self.recorded = mail.records
+            self.following.recorded(mail.records, False)
+            self.planning.recorded(mail.records)
+            self.following.due()
+
+    def _heard(self, text: bytes) -> None:
+        self.onlooker._seen(arbiter.read(text, arbiter.Line).result)
+
+    def vote(self) -> None:
+        self.revision += 1
+        voter = self.members[self.revision % self.count].id
+        self._heard(event(f"policy/votes/7/{voter}", b'""', self.revision))
+
+    def evidence(self) -> None:
+        self.revision += 1
+        number = self.revision % self.count
+        value = msgspec.json.encode(self.onlooker.records.said[self.members[number].id])
+        self._heard(event(f"zones/said/{self.members[number].id}", value, self.revision))
+
+    def entry(self) -> None:
+        """A member enters: a view is built."""
+        self.revision += 1
+        member = self.members[self.revision % self.count]
+        self._heard(event(f"members/{member.id}", msgspec.json.encode(member), self.revision))
+
+    def weigh(self) -> None:
+        """What a member makes of all evidence, eight times a second or so, in calm."""
+        self.planning.look_at = -1.0
+        self.planning._next()
+
+    def whole(self) -> bytes:
+        """What a start reads: members, names, evidence of zones, policy."""
+        pairs = [(f"members/{m.id}", msgspec.json.encode(m)) for m in self.members]
+        pairs += [(f"names/{m.name}", b"1") for m in self.members]
+        records = self.onlooker.records
+        pairs += [(f"zones/said/{m}", msgspec.json.encode(told)) for m, told in records.said.items()]
+        pairs += [("policy/now", msgspec.json.encode(records.now))]
+        kvs = [json.loads(event(key, value, 1))["result"]["events"][0]["kv"] for key, value in pairs]
+        told = {"header": {"revision": "1"}, "kvs": kvs, "count": str(len(kvs))}
+        return json.dumps(told, separators=(",", ":")).encode()
+
+    def read_whole(self, data: bytes) -> None:
+        ranged = arbiter.read(data, arbiter.Ranged)
+        self.onlooker.records = Records()
+        for pair in ranged.kvs:
+            self.onlooker._put(pair)
+
+
+def balancer(count: int) -> Balancer:
+    terms = Terms(
+        categories=[Category("look", Effect.RERUNNABLE, 1.0, 1.0, 2.0)], zone="here", sidecars=5,
+        must_subscribe=False, ask_within=8.0, cold_share=1.0, cold_for=0.0, fall_multiple=2.0, fall_span=2.0,
+        most_hand_offs=3, crossing_price=0.0,
+    )  # fmt: skip
+    made = Balancer(terms, random.Random(1), 0.0)
+    made.listed(News.WHOLE, [listing(i) for i in range(count)])
+    return made
+
+
+def listing(i: int, condition: Condition = Condition.READY) -> Listing:
+    return Listing(f"10.0.{i // 250}.{i % 250}:8080", "here", 0, 1.0, None, condition)
+
+
+def measure(sizes: Iterable[int] = SIZES, least: float = 0.15) -> Iterator[dict[str, Any]]:
+    """Each figure at each size; microseconds of processor time, or bytes."""
+    for name, frame in frames().items():
+        yield {"figure": f"frame {name}", "size": 0, "bytes": len(links.framed(frame))}
+    for count in sizes:
+        chance = random.Random(count)
+        bench = Bench(count)
+        everybody = bench.members
+        view = View(everybody)
+        ids = {m.id for m in everybody}
+
+        def home(view: View = view, chance: random.Random = chance) -> None:
+            view.home(chance.randbytes(32))
+
+        def keepers(view: View = view, chance: random.Random = chance, ids: set[str] = ids) -> None:
+            view.keepers(chance.randbytes(32), everybody[0].id, 1, ids)  # noqa: B023
+
+        made = balancer(count)
+
+        def change(made: Balancer = made, chance: random.Random = chance, count: int = count) -> None:
+            condition = chance.choice((Condition.READY, Condition.DRAINING))
+            made.listed(News.CHANGES, [listing(chance.randrange(count), condition)])
+            made._plan_afresh()
+
+        whole = bench.whole()
+        for figure, what in (
+            ("home", home),
+            ("keepers", keepers),
+            ("view", lambda everybody=everybody: View(everybody)),
+            ("list change, decided", change),
+            ("vote event", bench.vote),
+            ("evidence event", bench.evidence),
+            ("member event", bench.entry),
+            ("evidence weighed", bench.weigh),
+            ("whole range read", lambda bench=bench, whole=whole: bench.read_whole(whole)),
+        ):
+            yield {"figure": figure, "size": count, "us": round(timed(what, least), 2)}
+        records = bench.onlooker.records
+        some = next(iter(records.said.values()))
+        yield {"figure": "whole range", "size": count, "bytes": len(whole), "entries": 3 * count + 1}
+        one = event(f"zones/said/{bench.me}", msgspec.json.encode(some), 123456789)
+        yield {"figure": "evidence line", "size": count, "bytes": len(one)}
+        one = event(f"policy/votes/123456/{bench.me}", b'""', 123456789)
+        yield {"figure": "vote line", "size": count, "bytes": len(one)}
+        one = event(f"members/{bench.me}", msgspec.json.encode(everybody[0]), 123456789)
+        yield {"figure": "member line", "size": count, "bytes": len(one)}
+
+
+class Figures:
+    """What was measured, by name; a figure past its last size is extrapolated by the line of its last two."""
+
+    def __init__(self, lines: Iterable[dict[str, Any]]) -> None:
+        self.points: dict[str, dict[int, float]] = {}
+        for one in lines:
+            value = one.get("us", one.get("bytes"))
+            if value is not None:
+                self.points.setdefault(one["figure"], {})[one["size"]] = float(value)
+
+    def at(self, name: str, size: float = 0) -> float:
+        """NaN: it was not measured."""
+        points = self.points.get(name)
+        if not points:
+            return nan
+        if len(points) == 1:
+            return next(iter(points.values()))
+        if size in points:
+            return points[int(size)]
+        known = sorted(points.items())
+        above = next((i for i, (x, _) in enumerate(known) if x > size), len(known) - 1)
+        (x0, y0), (x1, y1) = known[max(0, above - 1)], known[max(1, above)]
+        return y0 + (y1 - y0) * (size - x0) / (x1 - x0)
+
+    def kind(self, name: str, size: float) -> str:
+        points = self.points.get(name, {})
+        if not points:
+            return "not measured"
+        return "extrapolated" if size > max(points) and len(points) > 1 else "measured"
+
+
+def read_lines(path: Path) -> list[dict[str, Any]]:
+    if not path.exists():
+        return []
+    return [json.loads(text) for text in path.read_text().splitlines() if text.startswith("{")]
+
+
+# The rows: what one role costs at a size.
+
+
+@dataclass(frozen=True)
+class Row:
+    """`unit`: of the value and the budget. `kind`: how the figure was come by. `carries`: what bounds it."""
+
+    role: str
+    what: str
+    formula: str
+    value: float
+    unit: str
+    budget: float
+    kind: str
+    carries: str
+
+    @property
+    def over(self) -> float:
+        """Times the budget."""
+        return self.value / self.budget
+
+
+def idle_words(peers: float) -> float:
+    """Words a second that a member says at rest, over all its links."""
+    idle = links.IDLE[0] if isinstance(links.IDLE, tuple) else links.IDLE
+    return min(peers / idle, float(links.A_SECOND))
+
+
+def wire(words: float, size: float) -> float:
+    """Bytes sent a second, of so many words each way: each is a segment, and acknowledged by another."""
+    return words * (size + 2 * HEADERS)
+
+
+def reached(fleet: float, rate: float, linger: float) -> float:
+    """Members among so many that are reached at least once while a link stays, at so many words a second."""
+    return fleet * (1 - exp(-rate * linger / fleet))
+
+
+def rows(size: Size, figures: Figures, cells: int = 1) -> list[Row]:
+    """One sidecar's part for what is common, on an ordinary day, by role. `cells`: how many there are."""
+    n, at = size.sidecars, figures.at
+    per_cell = n / cells
+    peers = per_cell - 1
+    beat, told = at("frame beat"), at("frame told")
+    quick = (links.STAKE + links.SILENCE * links.BEAT) / links.BEAT  # words on a link after one about work
+    word_core = line((m, core) for m, _, _, core, _, _ in REST)[1]  # per cent of a core for one a second
+    mesh = "cells" if cells > 1 else "a limit of words a second, none of sockets"
+    home_kind = figures.kind("home", per_cell)
+    rest_none, rest_slope, _ = line((m, sent + HEADERS * segments) for m, sent, segments, *_ in REST)
+    named = size.rate * size.named
+    said_rate = n / (zones.AGAIN * LEASE)
+    vote_rate = n * size.changes / DAY
+    texts = 3 * size.policy * 4 / 3 * size.changes / DAY
+    weighed = 16 / (zones.WINDOW * size.due)
+    outside = reached(n - peers, named * 2, size.linger) if cells > 1 else 0.0
+    covered = sum(at(f"frame {name}") for name in ("cover", "intend", "answered")) + 3 * 2 * HEADERS
+    covered += 3 * at("frame kept")
+    work = "cells" if cells > 1 else "none yet"
+    return [
+        Row("words to members", "links at rest", "members of a cell - 1", peers, "sockets", 64, "read", mesh),
+        Row(
+            "words to members", "beats at rest", f"{idle_words(peers):.0f}/s x (beat {beat:.0f} B + 2 x 52)",
+            wire(idle_words(peers), beat), "B/s", BYTES, "read", "a limit of words a second",
+        ),
+        Row(
+            "words to members", "`Told` and what it quickens, mean of a day",
+            f"{size.views * DAY:.0f} a day x {peers:.0f} links x (1 + {quick:.0f} words)",
+            wire(size.views * peers, told) + wire(size.views * peers * quick, beat), "B/s", BYTES, "read",
+            work,
+        ),
+        Row(
+            "words to members", "the same, in the 2.3 s after one change",
+            f"{peers:.0f} links x 10/s x {word_core * 1e4:.0f} us", peers / links.BEAT * word_core, "% core",
+            CORE, "extrapolated" if peers > 18 else "measured", work,
+        ),
+        Row(
+            "work in hand", "links outside the cell while named work is in hand",
+            f"{named:.0f} named calls/s x 2 members, each for {size.linger:.0f} s, of {n - peers:.0f}",
+            outside, "sockets", 64, "paper", "none yet" if cells > 1 else "the mesh has them already",
+        ),
+        Row(
+            "work in hand", "a name's home and keepers",
+            f"{named:.0f}/s x ({at('home', per_cell):.0f} + {at('keepers', per_cell):.0f} us)",
+            named * (at("home", per_cell) + at("keepers", per_cell)) / 1e4, "% core", CORE, home_kind, work,
+        ),
+        Row(
+            "work in hand", "frames of a named call",
+            f"{named:.0f}/s x {covered:.0f} B with headers, 256 B of body and answer", named * covered, "B/s",
+            BYTES, "read", "its own price of cover: no part of the 3 KB/s at rest",
+        ),
+        Row(
+            "membership", "keepalive, watch at rest",
+            "what the line through the measured fleet is at no members", rest_none, "B/s", BYTES,
+            "extrapolated", "one connection each, every third of a lease",
+        ),
+        Row(
+            "membership", "a change of the view",
+            f"{size.views * DAY:.0f} a day x {at('member event', n):.0f} us",
+            size.views * at("member event", n) / 1e4, "% core", CORE, figures.kind("member event", n),
+            "few a day",
+        ),
+        Row(
+            "membership", "entries that a start reads", f"3 x {n} of {arbiter.MOST} that are believed",
+            3.0 * n, "entries", arbiter.MOST, "read", "none yet",
+        ),
+        Row(
+            "membership", "bytes that a start reads", "members, names, evidence of zones",
+            at("whole range", n), "B", arbiter.LONGEST, figures.kind("whole range", n), "none yet",
+        ),
+        Row(
+            "policy", "votes that are heard",
+            f"{n} x {size.changes:.0f} a day x {at('vote line', n):.0f} B",
+            vote_rate * (at("vote line", n) + HEADERS), "B/s", BYTES, "read", "none yet",
+        ),
+        Row(
+            "policy", "the same, processor time", f"{vote_rate:.0f}/s x {at('vote event', n):.0f} us",
+            vote_rate * at("vote event", n) / 1e4, "% core", CORE, figures.kind("vote event", n), "none yet",
+        ),
+        Row(
+            "policy", "texts that are heard",
+            f"{size.changes:.0f} a day x 3 x {size.policy} B (proposal, decision, the one before), base64",
+            texts, "B/s", BYTES, "paper", "48 KiB at most each; none yet for that size",
+        ),
+        Row(
+            "policy", "proposal to switch, unless told", f"{policy.AHEAD:.0f} leases of {LEASE:.0f} s",
+            policy.AHEAD * LEASE, "s", size.force, "read", "a shorter lease, or `--switch`",
+        ),
+        Row(
+            "policy", "members that a decision compares", f"of {policy.COMPARED}", float(n), "members",
+            policy.COMPARED, "read", "none yet",
+        ),
+        Row(
+            "zones", "evidence that is heard", f"{said_rate:.0f}/s x {at('evidence line', n):.0f} B",
+            said_rate * (at("evidence line", n) + HEADERS), "B/s", BYTES, "read", "none yet",
+        ),
+        Row(
+            "zones", "the same, processor time", f"{said_rate:.0f}/s x {at('evidence event', n):.0f} us",
+            said_rate * at("evidence event", n) / 1e4, "% core", CORE, figures.kind("evidence event", n),
+            "none yet",
+        ),
+        Row(
+            "zones", "evidence that is weighed", f"{weighed:.0f}/s x {at('evidence weighed', n):.0f} us",
+            weighed * at("evidence weighed", n) / 1e4, "% core", CORE, figures.kind("evidence weighed", n),
+            "none yet",
+        ),
+        Row(
+            "its list", "changes of the whole fleet's list",
+            f"3 x {size.restarts:.0f} a day x 120 B", 3 * size.restarts / DAY * (120 + HEADERS), "B/s", BYTES,
+            "paper", "a watch of one list; several lists: none yet",
+        ),
+        Row(
+            "words to peers", "messages heard, where `caps.peers` is on",
+            f"at most {HEARD:.0f} in the shortest due time, {size.due:.0f} s",
+            min(HEARD / size.due, 2 * size.rate * (n / size.services - 1)) * (28 + 9), "B/s", BYTES, "read",
+            "HEARD, HTTP unaffected; of one service's replicas only",
+        ),
+    ]  # fmt: skip
+
+
+def arbiter_rows(size: Size, figures: Figures) -> list[tuple[str, str, float, str]]:
+    """What the arbiter's machines do, all together: what, formula, a second, of what."""
+    n, at = size.sidecars, figures.at
+    said_rate = n / (zones.AGAIN * LEASE)
+    votes = n * size.changes / DAY
+    changes = size.changes / DAY
+    member = at("member line", n) + HEADERS
+    evidence, vote = at("evidence line", n) + HEADERS, at("vote line", n) + HEADERS
+    keep = n / (arbiter.RENEW * LEASE)
+    text = 3 * size.policy * 4 / 3
+    return [
+        ("keepalives", f"{n} / (a third of {LEASE:.0f} s)", keep, "calls/s"),
+        ("the same", f"x {FRAMING} B about", keep * FRAMING, "B/s"),
+        ("writes of evidence", f"{n} / {zones.AGAIN * LEASE:.0f} s", said_rate, "writes/s"),
+        ("writes of votes, mean", f"{n} x {size.changes:.0f} a day", votes, "writes/s"),
+        ("writes of votes, in the second after a proposal", f"{n}", float(n), "writes/s"),
+        ("evidence told", f"{said_rate:.0f}/s x {n} watchers", said_rate * n, "events/s"),
+        ("the same", f"x {evidence:.0f} B", said_rate * n * evidence, "B/s"),
+        ("votes told, mean", f"{votes:.0f}/s x {n} watchers", votes * n, "events/s"),
+        ("votes told, of one change", f"{n} x {n}", float(n) * n, "events"),
+        ("the same", f"x {vote:.0f} B", float(n) * n * vote, "B"),
+        ("policy texts told, mean", f"{size.changes:.0f} a day x {n} x {text:.0f} B", changes * n * text,
+         "B/s"),
+        ("changes of members told", f"{size.views * DAY:.0f} a day x {n} x {member:.0f} B",
+         size.views * n * member, "B/s"),
+        ("strikes after one killed process", f"{n - 1} links reset, each asks", float(n - 1), "writes"),
+    ]  # fmt: skip
+
+
+def losses(size: Size, figures: Figures, cells: int = 1) -> list[tuple[str, str, str, float, str]]:
+    """A rack, a zone, a region: event, what, formula, value, unit."""
+    n, at = size.sidecars, figures.at
+    told = []
+    for name, gone in (("rack", size.rack), ("zone", size.zone), ("region", size.region)):
+        left = n - gone
+        peers = n / cells - 1
+        told += [
+            (name, "sidecars gone", f"of {n}", float(gone), "sidecars"),
+            (name, "changes of the view, if each lease ends by itself", "one each", float(gone), "views"),
+            (name, "processor time for them, of each that stays", f"{gone} x {at('member event', n):.0f} us",
+             gone * at("member event", n) / 1e6, "s"),
+            (name, "links that end at each that stays", f"{gone}/{n} of {peers:.0f}", gone / n * peers,
+             "links"),
+            (name, "words of `Told`, of each that stays", f"{gone} views x {left / n * peers:.0f} links",
+             gone * left / n * peers, "words"),
+            (name, "on return: ranges that are read", f"{gone} x {at('whole range', n) / 1e6:.2f} MB",
+             gone * at("whole range", n), "B"),
+            (name, "on return: events told", f"2 x {gone} x {n}", 2.0 * gone * n, "events"),
+            (name, "on return: links dialled", f"{gone} x {peers:.0f}", gone * peers, "links"),
+        ]  # fmt: skip
+    return told
+
+
+def holds(size: Size, seconds: float) -> float:
+    """How likely it is that the view does not change for so long, on an ordinary day."""
+    return exp(-size.views * seconds)
+
+
+# The tables.
+
+
+def number(value: float) -> str:
+    if value != value:
+        return "not measured"
+    if abs(value) >= 1e6:
+        return f"{value / 1e6:,.1f} million"
+    if abs(value) >= 100 or value == int(value):
+        return f"{value:,.0f}"
+    return f"{value:.2f}" if abs(value) < 10 else f"{value:.1f}"
+
+
+def table(head: list[str], lines: Iterable[Iterable[str]]) -> str:
+    told = [head, ["---"] * len(head), *lines]
+    return "\n".join("| " + " | ".join(one) + " |" for one in told)
+
+
+def of_rows(told: list[Row]) -> str:
+    head = ["role", "what", "formula", "at this size", "budget", "times the budget", "figure", "carried by"]
+    return table(
+        head,
+        (
+            [r.role, r.what, r.formula, f"{number(r.value)} {r.unit}", f"{number(r.budget)} {r.unit}",
+             f"{r.over:.2f}" if r.over < 10 else f"{r.over:,.0f}", r.kind, r.carries]
+            for r in told
+        ),
+    )  # fmt: skip
+
+
+def missing(told: list[Row]) -> list[Row]:
+    """What is over its budget, the most first."""
+    return sorted((r for r in told if r.over > 1), key=lambda r: -r.over)
+
+
+def report(size: Size, figures: Figures, cells: int) -> Iterator[str]:
+    yield "### Measured in this process, microseconds of processor time and bytes\n"
+    names = [n for n, points in figures.points.items() if len(points) > 1]
+    some = sorted({s for name in names for s in figures.points[name]})
+    yield table(
+        ["figure", *map(str, some), "grows by the power of"],
+        (
+            [name, *(number(figures.points[name].get(s, nan)) for s in some),
+             f"{power(figures.points[name].items()):.2f}"]
+            for name in names
+        ),
+    )  # fmt: skip
+    alone = [(n, points[0]) for n, points in figures.points.items() if list(points) == [0]]
+    yield "\n" + ", ".join(f"{name} {value:.0f} B" for name, value in alone) + "\n"
+    for count in (1, cells) if cells > 1 else (1,):
+        yield f"\n### A sidecar's part at {size.sidecars} members, {count} cell{'s' * (count > 1)}\n"
+        yield of_rows(rows(size, figures, count))
+        yield "\nOver their budgets, the most first:\n"
+        yield of_rows(missing(rows(size, figures, count)))
+    yield "\n### The arbiter's machines\n"
+    yield table(
+        ["what", "formula", "at this size"],
+        ([what, formula, f"{number(v)} {unit}"] for what, formula, v, unit in arbiter_rows(size, figures)),
+    )
+    for count in (1, cells) if cells > 1 else (1,):
+        yield f"\n### Losses, {count} cell{'s' * (count > 1)}\n"
+        yield table(
+            ["event", "what", "formula", "at this size"],
+            ([e, what, f, f"{number(v)} {unit}"] for e, what, f, v, unit in losses(size, figures, count)),
+        )
+    yield f"\nThe view does not change for {size.force:.0f} s with {holds(size, size.force):.1%}."
+
+
+def main(given: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m trials capacity", description=__doc__)
+    parser.add_argument("--measure", action="store_true", help="time the program's code; lines of JSON")
+    parser.add_argument("--sizes", default=",".join(map(str, SIZES)), help="for --measure")
+    parser.add_argument("--figures", type=Path, default=MICRO, help="lines of a former --measure")
+    parser.add_argument("--sidecars", type=int, default=Size.sidecars)
+    parser.add_argument("--cells", type=int, default=64, help="how many, beside one (default: 64)")
+    told = parser.parse_args(given)
+    sizes = [int(one) for one in told.sizes.split(",") if one.isdigit()]
+    if not sizes or min(sizes) < 2 or max(sizes) > 10_000 or told.sidecars < 2 or told.cells < 1:
+        print("sizes are whole numbers from 2 to 10000; sidecars from 2, cells from 1", file=sys.stderr)
+        return 2
+    if told.measure:
+        for one in measure(sizes):
+            print(json.dumps(one), flush=True)
+        return 0
+    lines = read_lines(told.figures)
+    if not lines:
+        print(f"{told.figures}: no figures there; --measure prints them", file=sys.stderr)
+        return 2
+    for text in report(Size(sidecars=told.sidecars), Figures(lines), told.cells):
+        print(text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
