--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from . import added, call_tree, capacity, cost, hard, loss, outage, policy, storm, zones
+from . import added, call_tree, capacity, cost, hard, loss, outage, parts, policy, storm, zones
 from .rig import ROOT
 
 TRIALS = {
@@ -17,14 +17,14 @@
     "storm": storm.storm,
     "cost": cost.play,
     "added": added.play,
-    "outage": outage.play,
+    **outage.CASES,
     "policy": policy.changes,
     **hard.CASES,
     **policy.CASES,
     **zones.TRIALS_OF_ZONES,
 }
 # Trials with a command line of their own.
-OWN = {"call-tree": call_tree.main, "capacity": capacity.main}
+OWN = {"call-tree": call_tree.main, "capacity": capacity.main, "parts": parts.main}
 
 
 def main() -> int:
@@ -38,7 +38,7 @@
     parser.add_argument("--root", type=Path, default=ROOT, help="another checkout whose program is played")
     parser.add_argument("--alone", action="store_true", help="without a fleet: each sidecar by itself")
     parser.add_argument("--sidecars", type=int, help="processes of the program")
-    parser.add_argument("--rates", help="of `added`: calls a second, separated by commas")
+    parser.add_argument("--rates", help="of `added` and `cost`: calls a second, separated by commas")
     parser.add_argument("--service", type=float, help="of `added`: an upstream's time, seconds (default: 0)")
     given = parser.parse_args()
     kept = True
--- a/trials/outage.py
+++ b/trials/outage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from pathlib import Path
 
 from .rig import ROOT, Rig
@@ -34,3 +35,6 @@
         if well < len(works) * 0.95:
             verdict.broken.append(f"{BACK} s after all are well again {well} of {len(works)} are answered")
     return verdict
+
+
+CASES = {"outage": play, "outage-hang": partial(play, mode="hang"), "outage-lose": partial(play, mode="lose")}
