--- a/trials/call_tree.py
+++ b/trials/call_tree.py
@@ -19,6 +19,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 from typing import Any
 
 from starlingwheel.decisions.rules import Balancer, Upstream
@@ -512,36 +513,52 @@
     return Tree(plan).play()
 
 
+def _range(values: list[float], form: str) -> str:
+    low, high = format(min(values), form), format(max(values), form)
+    return low if low == high else f"{low} to {high}"
+
+
 def table(told: list[dict[str, Any]]) -> str:
-    """Results beside each other, in markdown."""
+    """Results beside each other, in markdown: a row for each kind of run, ranges over its seeds."""
     head = [
         "scene",
-        "effect",
-        "budget",
-        "seed",
+        "what if",
+        "seeds",
         "load at the leaf",
-        "by second",
         "most in 0.1 s",
-        "answered",
         "by second",
-        "copies",
-        "retries",
+        "most at any level",
     ]
-    rows = [head, ["---"] * len(head)]
+    head += ["answered while it lasts", "in the last second", "most copies, retries at a level"]
+    kinds: dict[tuple[str, str], list[dict[str, Any]]] = {}
     for one in told:
-        answers = one["answers"]
-        finished = answers.get("finished", 0) / max(1, one["calls at the root"])
-        copies, retries = (max(level[kind] for level in one["levels"]) for kind in ("copy", "retry"))
-        budget = "none" if one["budget"] is None else f"{one['budget']:.0%}"
+        if "void" in one:
+            continue
         scene = one["scene"] + (f" {one['part']:.0%}" if one["part"] < 1 else "")
-        scene += f", {one['services']} services" + (", regains" if one["regains"] else "")
-        load = ", ".join(f"{each:.2f}" for each in one["by second"])
-        well = ", ".join(f"{each:.0%}" for each in one["answered by second"])
+        scene += f", {one['services']} service{'s' * (one['services'] > 1)} a level, {one['depth']} deep"
+        what_if = [f"a budget of {one['budget']:.0%}"] if one["budget"] is not None else []
+        what_if += ["who finds nobody may try sooner"] if one["regains"] else []
+        what_if += ["no load reports"] if not one["reports"] else []
+        what_if += [f"{one['effect']} work"] if one["effect"] != Plan.effect else []
+        kinds.setdefault((scene, ", ".join(what_if)), []).append(one)
+    rows = [head, ["---"] * len(head)]
+    for (scene, what_if), runs in kinds.items():
+        lasts = max(1, round(runs[0]["lasts"]))
+        seconds = zip(*(one["by second"] for one in runs), strict=True)
+        during = [one["answered by second"][:lasts] for one in runs]
         rows.append(
             [
-                scene, one["effect"], budget, str(one["seed"]), f"{one['load at the leaf']:.2f}",
-                load, f"{one['most in a tenth']:.2f}",
-                f"{finished:.1%}", well, f"{copies:.1%}", f"{retries:.1%}",
+                scene, what_if or "as it is", str(len(runs)),
+                _range([one["load at the leaf"] for one in runs], ".2f"),
+                _range([one["most in a tenth"] for one in runs], ".1f"),
+                ", ".join(f"{sum(each) / len(each):.2f}" for each in seconds),
+                _range([max(level["sends a root call"] for level in one["levels"]) for one in runs], ".2f"),
+                _range([sum(well) / len(well) for well in during], ".0%"),
+                _range([one["answered by second"][-1] for one in runs], ".0%"),
+                ", ".join(
+                    f"{max(level[kind] for one in runs for level in one['levels']):.0%}"
+                    for kind in ("copy", "retry")
+                ),
             ]
         )  # fmt: skip
     return "\n".join("| " + " | ".join(row) + " |" for row in rows)
@@ -565,7 +582,14 @@
     parser.add_argument("--regains", action="store_true", help="what-if: who finds nobody may try sooner")
     parser.add_argument("--no-reports", dest="reports", action="store_false", help="answers tell no load")
     parser.add_argument("--table", action="store_true", help="a table at the end")
+    parser.add_argument("--read", type=Path, help="play nothing: a table of the lines of former runs")
     told = vars(parser.parse_args(given))
+    if (read := told.pop("read")) is not None:
+        if not read.is_file():
+            print(f"{read}: there is no such file", file=sys.stderr)
+            return 2
+        print(table([json.loads(text) for text in read.read_text().splitlines() if text.startswith("{")]))
+        return 0
     first, seeds, as_table = told.pop("seed"), told.pop("seeds"), told.pop("table")
     scenes, budgets = told.pop("scene") or SCENES, told.pop("budget") or ["none"]
     done: list[dict[str, Any]] = []
--- a/trials/capacity.py
+++ b/trials/capacity.py
@@ -36,8 +36,15 @@
 from starlingwheel.net.loop import Loop
 from starlingwheel.net.memory.buffers import Pool
 
+from . import call_tree
+
 ROOT = Path(__file__).parent.parent
 MICRO = ROOT / "journal" / "capacity" / "micro.jsonl"
+TREE = ROOT / "journal" / "capacity" / "call-tree.jsonl"
+MARKS = {
+    name: (f"<!-- {name}: tables by `python -m trials capacity --write` -->", f"<!-- {name}: end -->")
+    for name in ("capacity", "call-tree")
+}
 SIZES = (50, 200, 400, 800, 1600)
 DAY = 86400.0
 HEADERS = 52  # bytes: IPv4, TCP with its timestamps
@@ -372,7 +379,9 @@
 
     def __init__(self, lines: Iterable[dict[str, Any]]) -> None:
         self.points: dict[str, dict[int, float]] = {}
+        self.is_bytes: dict[str, bool] = {}
         for one in lines:
+            self.is_bytes[one["figure"]] = "bytes" in one
             value = one.get("us", one.get("bytes"))
             if value is not None:
                 self.points.setdefault(one["figure"], {})[one["size"]] = float(value)
@@ -475,7 +484,7 @@
             work,
         ),
         Row(
-            "words to members", "the same, in the 2.3 s after one change",
+            "words to members", "processor time in the 2.3 s after a change of the view",
             f"{peers:.0f} links x 10/s x {word_core * 1e4:.0f} us", peers / links.BEAT * word_core, "% core",
             CORE, "extrapolated" if peers > 18 else "measured", work,
         ),
@@ -519,7 +528,7 @@
             vote_rate * (at("vote line", n) + HEADERS), "B/s", BYTES, "read", "none yet",
         ),
         Row(
-            "policy", "the same, processor time", f"{vote_rate:.0f}/s x {at('vote event', n):.0f} us",
+            "policy", "votes, processor time", f"{vote_rate:.0f}/s x {at('vote event', n):.0f} us",
             vote_rate * at("vote event", n) / 1e4, "% core", CORE, figures.kind("vote event", n), "none yet",
         ),
         Row(
@@ -541,7 +550,7 @@
             said_rate * (at("evidence line", n) + HEADERS), "B/s", BYTES, "read", "none yet",
         ),
         Row(
-            "zones", "the same, processor time", f"{said_rate:.0f}/s x {at('evidence event', n):.0f} us",
+            "zones", "evidence, processor time", f"{said_rate:.0f}/s x {at('evidence event', n):.0f} us",
             said_rate * at("evidence event", n) / 1e4, "% core", CORE, figures.kind("evidence event", n),
             "none yet",
         ),
@@ -681,18 +690,22 @@
     return "\n".join("| " + " | ".join(one) + " |" for one in told)
 
 
-def of_rows(told: list[Row]) -> str:
-    head = ["role", "what", "formula", "at this size", "budget", "times the budget", "figure", "carried by"]
-    return table(
-        head,
-        (
-            [r.role, r.what, r.formula, f"{number(r.value)} {r.unit}",
-             f"{number(r.budget)} {r.unit}" if r.budget == r.budget else "none told",
-             f"{r.over:,.0f}" if r.over >= 10 else "" if r.over != r.over else f"{r.over:.2f}",
-             r.kind, r.carries]
-            for r in told
-        ),
-    )  # fmt: skip
+def times(row: Row) -> str:
+    return f"{row.over:,.0f}" if row.over >= 10 else "" if row.over != row.over else f"{row.over:.2f}"
+
+
+def side_by_side(size: Size, figures: Figures, cells: int) -> str:
+    """One cell, and many."""
+    head = ["role", "what", "formula, one cell", "one cell", f"{cells} cells", "budget"]
+    head += ["times the budget, one cell", f"{cells} cells", "figure", f"what carries it, {cells} cells"]
+    lines = []
+    for one, many in zip(rows(size, figures), rows(size, figures, cells), strict=True):
+        budget = f"{number(one.budget)} {one.unit}" if one.budget == one.budget else "none told"
+        lines.append(
+            [one.role, one.what, one.formula, f"{number(one.value)} {one.unit}",
+             f"{number(many.value)} {many.unit}", budget, times(one), times(many), one.kind, many.carries]
+        )  # fmt: skip
+    return table(head, lines)
 
 
 def missing(told: list[Row]) -> list[Row]:
@@ -700,42 +713,73 @@
     return sorted((r for r in told if r.over > 1), key=lambda r: -r.over)
 
 
-def report(size: Size, figures: Figures, cells: int) -> Iterator[str]:
-    yield "### Measured in this process, microseconds of processor time and bytes\n"
+def order(told: list[Row]) -> str:
+    return table(
+        ["times its budget", "role", "what", "at this size", "figure", "what carries it"],
+        ([times(r), r.role, r.what, f"{number(r.value)} {r.unit}", r.kind, r.carries] for r in missing(told)),
+    )
+
+
+def micro(figures: Figures) -> Iterator[str]:
     names = [n for n, points in figures.points.items() if len(points) > 1]
     some = sorted({s for name in names for s in figures.points[name]})
+    units = {n: "B" if figures.is_bytes.get(n) else "us" for n in names}
     yield table(
-        ["figure", *map(str, some), "grows by the power of"],
+        ["figure", "unit", *map(str, some), "grows by the power of"],
         (
-            [name, *(number(figures.points[name].get(s, nan)) for s in some),
+            [name, units[name], *(number(figures.points[name].get(s, nan)) for s in some),
              f"{power(figures.points[name].items()):.2f}"]
             for name in names
         ),
     )  # fmt: skip
     alone = [(n, points[0]) for n, points in figures.points.items() if list(points) == [0]]
-    yield "\n" + ", ".join(f"{name} {value:.0f} B" for name, value in alone) + "\n"
-    for count in (1, cells) if cells > 1 else (1,):
-        yield f"\n### A sidecar's part at {size.sidecars} members, {count} cell{'s' * (count > 1)}\n"
-        yield of_rows(rows(size, figures, count))
-        yield "\nOver their budgets, the most first:\n"
-        yield of_rows(missing(rows(size, figures, count)))
-    yield "\n### The arbiter's machines\n"
+    yield "\nBytes: " + ", ".join(f"{name} {value:.0f}" for name, value in alone) + "."
+
+
+def plain(told: list[tuple[str, str, float, str]]) -> str:
+    return table(
+        ["what", "formula", "at this size"], ([w, f, f"{number(v)} {unit}"] for w, f, v, unit in told)
+    )
+
+
+def report(size: Size, figures: Figures, cells: int) -> Iterator[str]:
+    yield f"### A sidecar's part at {size.sidecars} members\n"
+    yield side_by_side(size, figures, cells)
+    yield "\nOver the budget with one cell, the most first:\n"
+    yield order(rows(size, figures))
+    yield f"\nWith {cells} cells:\n"
+    yield order(rows(size, figures, cells))
+    yield "\n### What the code takes, in this process\n"
+    yield from micro(figures)
+    yield "\n### The arbiter's machines, all together\n"
+    yield plain(arbiter_rows(size, figures))
+    yield "\n### Discovery\n"
+    yield plain(discovery_rows(size))
+    yield "\n### Operators\n"
+    yield plain(operator_rows(size, figures))
+    yield "\n### Losses, and the return\n"
     yield table(
-        ["what", "formula", "at this size"],
-        ([what, formula, f"{number(v)} {unit}"] for what, formula, v, unit in arbiter_rows(size, figures)),
+        ["event", "what", "formula, one cell", "one cell", f"{cells} cells"],
+        (
+            [one[0], one[1], one[2], f"{number(one[3])} {one[4]}", f"{number(many[3])} {many[4]}"]
+            for one, many in zip(losses(size, figures), losses(size, figures, cells), strict=True)
+        ),
+    )
+    another = 1 - exp(-size.changes / DAY * size.force)
+    yield (
+        "\nOn paper, for changes and restarts that come by chance: the view does not change for"
+        f" {size.force:.0f} s with {holds(size, size.force):.1%}; a change meets another one open with"
+        f" {another:.1%}."
     )
-    for name, told in (("Discovery", discovery_rows(size)), ("Operators", operator_rows(size, figures))):
-        yield f"\n### {name}\n"
-        yield table(
-            ["what", "formula", "at this size"], ([w, f, f"{number(v)} {unit}"] for w, f, v, unit in told)
-        )
-    for count in (1, cells) if cells > 1 else (1,):
-        yield f"\n### Losses, {count} cell{'s' * (count > 1)}\n"
-        yield table(
-            ["event", "what", "formula", "at this size"],
-            ([e, what, f, f"{number(v)} {unit}"] for e, what, f, v, unit in losses(size, figures, count)),
-        )
-    yield f"\nThe view does not change for {size.force:.0f} s with {holds(size, size.force):.1%}."
+
+
+def written(page: str, begin: str, end: str, text: str) -> str:
+    """A page with what stands between two marks replaced. Raises `ValueError` where there are none."""
+    before, found, rest = page.partition(begin)
+    _, closed, after = rest.partition(end)
+    if not found or not closed:
+        raise ValueError(f"no {begin} and {end} in the page")
+    return f"{before}{begin}\n\n{text}\n\n{end}{after}"
 
 
 def main(given: list[str] | None = None) -> int:
@@ -745,6 +789,8 @@
     parser.add_argument("--figures", type=Path, default=MICRO, help="lines of a former --measure")
     parser.add_argument("--sidecars", type=int, default=Size.sidecars)
     parser.add_argument("--cells", type=int, default=64, help="how many, beside one (default: 64)")
+    parser.add_argument("--write", type=Path, help="put the tables into a page, between its marks")
+    parser.add_argument("--tree", type=Path, default=TREE, help="lines of `call-tree`, for the page")
     told = parser.parse_args(given)
     sizes = [int(one) for one in told.sizes.split(",") if one.isdigit()]
     if not sizes or min(sizes) < 2 or max(sizes) > 10_000 or told.sidecars < 2 or told.cells < 1:
@@ -758,8 +804,17 @@
     if not lines:
         print(f"{told.figures}: no figures there; --measure prints them", file=sys.stderr)
         return 2
-    for text in report(Size(sidecars=told.sidecars), Figures(lines), told.cells):
+    text = "\n".join(report(Size(sidecars=told.sidecars), Figures(lines), told.cells))
+    if told.write is None:
         print(text)
+        return 0
+    try:
+        page = written(told.write.read_text(), *MARKS["capacity"], text)
+        tree = call_tree.table(read_lines(told.tree))
+        told.write.write_text(written(page, *MARKS["call-tree"], tree))
+    except (OSError, ValueError) as error:
+        print(f"{told.write}: {error}", file=sys.stderr)
+        return 2
     return 0
 
 
