--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -58,6 +58,17 @@
     assert reached(1000, 1e6, 10) == pytest.approx(1000)
 
 
+def test_the_largest_size_of_a_scale_run_is_predicted_from_the_smaller_ones():
+    lines = [
+        {"role": "alone", "phase": "rest", "cell_size": 0, "size": size, "wire_out": 100.0 + 3 * size + more}
+        for size, more in ((25, 0), (50, 0), (100, 80))
+    ]
+    lines.append({"role": "arbiter", "phase": "rest", "cell_size": 0, "size": 25, "wire_out": 1e9})
+    told = capacity.scaled(lines).splitlines()
+    assert len(told) == 3
+    assert told[2].split(" | ")[3:6] == ["175", "250", "480"] and "400 (-17%)" in told[2]
+
+
 def test_what_is_missing_is_ordered_by_its_overrun():
     told = [Row("", str(n), "", value, "B/s", 10.0, "", "") for n, value in enumerate((5.0, 20.0, 90.0))]
     told.append(Row("", "none", "", 1e9, "B/s", float("nan"), "", ""))
--- a/trials/capacity.py
+++ b/trials/capacity.py
@@ -41,6 +41,7 @@
 ROOT = Path(__file__).parent.parent
 MICRO = ROOT / "journal" / "capacity" / "micro.jsonl"
 TREE = ROOT / "journal" / "capacity" / "call-tree.jsonl"
+SCALE = ROOT / "journal" / "scale"
 MARKS = {
     name: (f"<!-- {name}: tables by `python -m trials capacity --write` -->", f"<!-- {name}: end -->")
     for name in ("capacity", "call-tree")
@@ -736,19 +737,56 @@
     yield "\nBytes: " + ", ".join(f"{name} {value:.0f}" for name, value in alone) + "."
 
 
+SCALED = ("wire_out", "wire_in", "core", "sockets", "mb")
+
+
+def scaled(lines: list[dict[str, Any]], role: str = "alone") -> str:
+    """What the scale run measured of a member, by phase and figure; the last size predicted from the others.
+
+    The mean of the seeds of a size. `role`: members with a loop of their own, as processes have.
+    """
+    points: dict[tuple[str, int, str], dict[int, list[float]]] = {}
+    for one in lines:
+        if one.get("role") == role:
+            for figure in SCALED:
+                if figure in one:
+                    kind = (one["phase"], one["cell_size"], figure)
+                    points.setdefault(kind, {}).setdefault(one["size"], []).append(float(one[figure]))
+    sizes = sorted({size for known in points.values() for size in known})
+    told = []
+    for (phase, cell, figure), known in points.items():
+        means = {size: sum(values) / len(values) for size, values in sorted(known.items())}
+        growth = predicted = ""
+        if len(means) > 1 and min(means.values()) > 0:
+            growth = f"{power(means.items()):.2f}"
+        if len(means) > 2:
+            *before, (last, value) = means.items()
+            at_none, slope, _ = line(before)
+            predicted = f"{number(at_none + slope * last)} ({(at_none + slope * last) / value - 1:+.0%})"
+        told.append(
+            [phase, str(cell) if cell else "one cell", figure,
+             *(number(means[size]) if size in means else "" for size in sizes), growth, predicted]
+        )  # fmt: skip
+    head = ["phase", "members a cell", "figure", *map(str, sizes), "grows by the power of"]
+    return table([*head, "the largest, predicted from the smaller by a line"], told)
+
+
 def plain(told: list[tuple[str, str, float, str]]) -> str:
     return table(
         ["what", "formula", "at this size"], ([w, f, f"{number(v)} {unit}"] for w, f, v, unit in told)
     )
 
 
-def report(size: Size, figures: Figures, cells: int) -> Iterator[str]:
+def report(size: Size, figures: Figures, cells: int, scale: list[dict[str, Any]]) -> Iterator[str]:
     yield f"### A sidecar's part at {size.sidecars} members\n"
     yield side_by_side(size, figures, cells)
     yield "\nOver the budget with one cell, the most first:\n"
     yield order(rows(size, figures))
     yield f"\nWith {cells} cells:\n"
     yield order(rows(size, figures, cells))
+    if scale:
+        yield "\n### Measured by the scale run, a member, by the number of members\n"
+        yield scaled(scale)
     yield "\n### What the code takes, in this process\n"
     yield from micro(figures)
     yield "\n### The arbiter's machines, all together\n"
@@ -790,6 +828,7 @@
     parser.add_argument("--sidecars", type=int, default=Size.sidecars)
     parser.add_argument("--cells", type=int, default=64, help="how many, beside one (default: 64)")
     parser.add_argument("--write", type=Path, help="put the tables into a page, between its marks")
+    parser.add_argument("--scale", type=Path, default=SCALE, help="a folder of lines of `trials.scale`")
     parser.add_argument("--tree", type=Path, default=TREE, help="lines of `call-tree`, for the page")
     told = parser.parse_args(given)
     sizes = [int(one) for one in told.sizes.split(",") if one.isdigit()]
@@ -804,7 +843,8 @@
     if not lines:
         print(f"{told.figures}: no figures there; --measure prints them", file=sys.stderr)
         return 2
-    text = "\n".join(report(Size(sidecars=told.sidecars), Figures(lines), told.cells))
+    scale = [one for path in sorted(told.scale.glob("*.jsonl")) for one in read_lines(path)]
+    text = "\n".join(report(Size(sidecars=told.sidecars), Figures(lines), told.cells, scale))
     if told.write is None:
         print(text)
         return 0
