--- a/trials/capacity.py
+++ b/trials/capacity.py
@@ -737,7 +737,13 @@
     yield "\nBytes: " + ", ".join(f"{name} {value:.0f}" for name, value in alone) + "."
 
 
-SCALED = ("wire_out", "wire_in", "core", "sockets", "mb")
+SCALED = {
+    "wire_out": "sent with headers, B/s",
+    "wire_in": "received with headers, B/s",
+    "core": "% core",
+    "sockets": "sockets",
+    "mb": "MB",
+}
 
 
 def scaled(lines: list[dict[str, Any]], role: str = "alone") -> str:
@@ -750,8 +756,9 @@
         if one.get("role") == role:
             for figure in SCALED:
                 if figure in one:
-                    kind = (one["phase"], one["cell_size"], figure)
-                    points.setdefault(kind, {}).setdefault(one["size"], []).append(float(one[figure]))
+                    kind = (one["phase"], one["cell_size"], SCALED[figure])
+                    value = float(one[figure]) * (100 if figure == "core" else 1)
+                    points.setdefault(kind, {}).setdefault(one["size"], []).append(value)
     sizes = sorted({size for known in points.values() for size in known})
     told = []
     for (phase, cell, figure), known in points.items():
