--- a/trials/call_tree.py
+++ b/trials/call_tree.py
@@ -51,6 +51,7 @@
     `budget`: second sends that a sidecar may make for each first send; None: as the program is, no bound.
     `tells`: an application that has been left leaves its own call too. `hands_down`: it tells the time left.
     `regains`: what-if: work that finds nobody counts for the part of trials, as a hand-off does.
+    `passes_on`: what-if: an application whose own call was deferred turns its caller's away, as never run.
     `reports`: each answer says how many its server holds, and how busy it is.
     """
 
@@ -69,6 +70,7 @@
     copies: bool = True
     budget: float | None = None
     regains: bool = False
+    passes_on: bool = False
     tells: bool = True
     hands_down: bool = True
     reports: bool = True
@@ -163,7 +165,7 @@
 class Asked:
     """What one work item of a caller is for. `sends`: how many it was handed off."""
 
-    done: Callable[[bool], None]
+    done: Callable[[str], None]
     at: float
     told: float
     root: Root
@@ -195,8 +197,8 @@
         self.runner.listed(News.WHOLE, listings)
         self.runner.start()
 
-    def ask(self, patience: float, root: Root, done: Callable[[bool], None]) -> WorkItem:
-        """Call the next level; `done` is told whether that was answered."""
+    def ask(self, patience: float, root: Root, done: Callable[[str], None]) -> WorkItem:
+        """Call the next level; `done` is told how that ended: finished, deferred or written off."""
         self.runner.at(self.tree.now)
         wi = WorkItem(self.tree.category, self.tree.now, min(patience, self.tree.category.expiry))
         self.asked[wi] = Asked(done, self.tree.now, wi.patience, root)
@@ -227,7 +229,7 @@
         self.runner.at(self.tree.now)
         self.runner.outcome(Outcome(ho, fate, self.tree.now - ho.sent, asked.answered, report or {}))
         if first:
-            asked.done(True)
+            asked.done("finished")
         self._forget(ho.wi)
 
     def _forget(self, wi: WorkItem) -> None:
@@ -272,7 +274,7 @@
         asked.answered = True
         self.tree.answered(how, self.level, asked)
         # Not in this turn: the decisions are in the middle of theirs.
-        self.tree.after(0.0, lambda: asked.done(False))
+        self.tree.after(0.0, lambda: asked.done(how))
         self.tree.after(0.0, lambda: self._forget(wi))
 
     def defer(self, wi: WorkItem, come_back: float) -> None:
@@ -339,11 +341,13 @@
                 self._answer(call, Fate.ERROR)
             else:
                 call.below = self.below[call.root.path[self.level + 1]]
-                call.child = call.below.ask(left, call.root, lambda well, c=call: self._back(c, well))
+                call.child = call.below.ask(left, call.root, lambda how, c=call: self._back(c, how))
         self._next()
 
-    def _back(self, call: Call, well: bool) -> None:
-        self._answer(call, Fate.FINISHED if well else Fate.ERROR)
+    def _back(self, call: Call, how: str) -> None:
+        passed_on = how == "deferred" and self.tree.plan.passes_on
+        failed = Fate.TURNED_DOWN if passed_on else Fate.ERROR
+        self._answer(call, Fate.FINISHED if how == "finished" else failed)
 
     def _answer(self, call: Call, fate: Fate) -> None:
         report = None
@@ -434,7 +438,7 @@
         self.roots += measured
         self.begun_by_second[int(self.now - plan.learn)] += measured
         root = Root(measured, tuple(self.chance.randrange(plan.services) for _ in range(plan.depth)))
-        callers[root.path[0]].ask(EXPIRY * plan.due, root, lambda well: None)
+        callers[root.path[0]].ask(EXPIRY * plan.due, root, lambda how: None)
         self._again(callers)
 
     def _again(self, callers: list[Caller]) -> None:
@@ -538,6 +542,7 @@
         scene += f", {one['services']} service{'s' * (one['services'] > 1)} a level, {one['depth']} deep"
         what_if = [f"a budget of {one['budget']:.0%}"] if one["budget"] is not None else []
         what_if += ["who finds nobody may try sooner"] if one["regains"] else []
+        what_if += ["a deferral below is one above"] if one.get("passes_on") else []
         what_if += ["no load reports"] if not one["reports"] else []
         what_if += [f"{one['effect']} work"] if one["effect"] != Plan.effect else []
         kinds.setdefault((scene, ", ".join(what_if)), []).append(one)
@@ -580,6 +585,7 @@
     parser.add_argument("--no-copies", dest="copies", action="store_false", help="copies are not allowed")
     parser.add_argument("--not-told", dest="tells", action="store_false", help="who is left goes on calling")
     parser.add_argument("--regains", action="store_true", help="what-if: who finds nobody may try sooner")
+    parser.add_argument("--passes-on", action="store_true", help="what-if: a deferral below is one above")
     parser.add_argument("--no-reports", dest="reports", action="store_false", help="answers tell no load")
     parser.add_argument("--table", action="store_true", help="a table at the end")
     parser.add_argument("--read", type=Path, help="play nothing: a table of the lines of former runs")
