--- a/trials/scale/__main__.py
+++ b/trials/scale/__main__.py
@@ -107,16 +107,18 @@
         return 2
     with contextlib.ExitStack() as stack:
         file: TextIO | None = None
+        lines: list[dict[str, Any]] = []  # also what the file has already: larger sizes are predicted from it
         if given.output is not None:
             try:
+                if given.output.exists():
+                    told = map(json.loads, given.output.read_text().splitlines())
+                    lines = [line for line in told if "phase" in line]
                 given.output.parent.mkdir(parents=True, exist_ok=True)
                 file = stack.enter_context(given.output.open("a"))
-            except OSError as error:
-                print(f"trials.scale: {given.output}: {error.strerror}", file=sys.stderr)
+            except (OSError, ValueError) as error:
+                print(f"trials.scale: {given.output}: {error}", file=sys.stderr)
                 return 2
 
-        lines: list[dict[str, Any]] = []
-
         def out(line: dict[str, Any]) -> None:
             if "phase" in line:
                 lines.append(line)
