--- a/standins/http1.py
+++ b/standins/http1.py
@@ -48,6 +48,25 @@
     writer.transport.abort()
 
 
+@contextlib.asynccontextmanager
+async def left(reader: asyncio.StreamReader) -> AsyncIterator[None]:
+    """Cancels what is inside when the other side ends, which nothing that is written may tell for long."""
+    inside = asyncio.current_task()
+    assert inside is not None
+
+    def ended(read: asyncio.Task[bytes]) -> None:
+        if not read.cancelled() and (read.exception() is not None or not read.result()):
+            inside.cancel()
+
+    reading = asyncio.create_task(reader.read(CHUNK))
+    reading.add_done_callback(ended)
+    try:
+        yield
+    finally:
+        reading.remove_done_callback(ended)
+        reading.cancel()
+
+
 class Server:
     """Listens on loopback; `handler` answers each request. `stop` and `begin` may be called in turns."""
 
@@ -134,9 +153,10 @@
             out = http.send(head)
             if answer.parts is not None:
                 writer.write(out)
-                async for part in answer.parts:
-                    writer.write(http.send(h11.Data(data=part)))
-                    await writer.drain()
+                async with left(reader):
+                    async for part in answer.parts:
+                        writer.write(http.send(h11.Data(data=part)))
+                        await writer.drain()
                 out = b""
             elif answer.body:
                 out += http.send(h11.Data(data=answer.body))
