--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -42,6 +42,7 @@
 def test_all_that_is_wrong_with_a_part_is_told_at_once_with_its_keys():
     wrong = {
         "name": "a b", "listen": "nowhere", "arbiter": ["x", "127.0.0.1:99999"], "lease_s": 0.5, "spare": 1,
+        "cell_size": -1,
         "cover": {"categories": ["buy", "sell"], "name_header": "X_Y", "keepers": 9, "keeper": 2},
     }  # fmt: skip
     with pytest.raises(ValueError) as caught:
@@ -49,8 +50,8 @@
     told = str(caught.value)
     for key in (
         "fleet.name:", "fleet.listen:", "fleet.arbiter[0]:", "fleet.arbiter[1]:", "fleet.lease_s:",
-        "fleet.spare:", "fleet.cover.categories[1]:", "fleet.cover.name_header:", "fleet.cover.keepers:",
-        "fleet.cover.keeper:", "streamsPerConn",
+        "fleet.spare:", "fleet.cell_size:", "fleet.cover.categories[1]:", "fleet.cover.name_header:",
+        "fleet.cover.keepers:", "fleet.cover.keeper:", "streamsPerConn",
     ):  # fmt: skip
         assert key in told, key
 
@@ -357,6 +358,8 @@
     answer, body = around.answer(caller)
     told = json.loads(body)
     assert answer.status_code == 200 and told["in_view"] and told["member"] == around.node.fleet.me
+    cells = {"count": 1, "ours": 0, "members": [told["member"]], "fleet_members": 1}
+    assert told["cells"] == cells and [one["id"] for one in told["view"]] == cells["members"]
     assert (
         told["items"] == {"done": 1} and told["counts"]["covered"] == 1 and told["counts"]["uncovered"] == 1
     )
