--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -12,7 +12,7 @@
 import sys
 from pathlib import Path
 
-from . import cost, hard, loss, policy, storm, zones
+from . import cost, hard, loss, policy, rest, storm, zones
 from .rig import ROOT
 
 TRIALS = {
@@ -20,6 +20,7 @@
     "losses": storm.losses,
     "storm": storm.storm,
     "cost": cost.play,
+    "rest": rest.play,
     "policy": policy.changes,
     **hard.CASES,
     **policy.CASES,
