Cells: what is answered is told to the next keeper as well after a change; a record held back keeps its home

Found under 5 crashes and 10 cuts a second over 12 members: a record that its owner had covered anew was dropped as not told, and two keepers lost one after another took the answer with them.

--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -270,7 +270,7 @@
         self.early = {one: home for one, home in self.early.items() if one[0] != member}
         for item in self._about(member):
             item.askers.pop(member, None)
-            if item.told_home == member and item.state is State.KEEPING:
+            if item.told_home == member and item.state in (State.KEEPING, State.DONE):
                 item.told_home = ""  # what was said last may be lost
             if item.state is State.OWNING and member in item.keepers:
                 item.keepers[member] = UNSURE
@@ -882,9 +882,9 @@
             # Guards against granting what another home has granted: all have told before long.
             if told.granted:
                 self._record(item, told)  # guards against losing it with its owner meanwhile
-                kept = self.items.get(told.key)
-                if kept is not None and kept.owner == member and self._outside(member, kept):
-                    kept.at_home = told.home
+            kept = self.items.get(told.key)
+            if kept is not None and kept.state is State.KEEPING and kept.owner == member:
+                kept.at_home = told.home
             self.held.append((member, told))
             return
         # Where its view is ahead of ours we keep it, and are its home soon.
@@ -1078,6 +1078,7 @@
                 self._take_over(item)
         elif item.state is State.DONE:
             self._tell_home(item, home)
+            self._tell_next(item, home)
         elif item.state in (State.ASKING, State.JOINED):
             lost = item.at_home not in self.links
             if lost or (item.state is State.ASKING and item.at_home != home and home in self.links):
@@ -1092,8 +1093,21 @@
             return
         if item.owner == self.me or item.owner not in self.links or self._outside(item.owner, item):
             item.at_home = home
+            self._say_over(item, home)
+
+    def _tell_next(self, item: Item, home: str) -> None:
+        """Guards against the loss of one keeper after another, where the owner is of another cell."""
+        if home != self.me or item.reply is None or not self._outside(item.owner, item):
+            return
+        member = self.view.home(item.key, but=home)
+        if member in self.links and member != item.told_home:
+            item.told_home = member
+            self._say_over(item, member)
+
+    def _say_over(self, item: Item, member: str) -> None:
+        if item.reply is not None:
             over = Over(item.key, item.owner, item.mark, item.category, item.effect, item.until, item.reply)
-            self.door.say(home, over)
+            self.door.say(member, over)
 
     def _heard_over(self, over: Over) -> None:
         item = self.items.get(over.key)
@@ -1110,6 +1124,8 @@
             return
         self._stop_all(item)
         self._done(item, over.reply)
+        if self.items.get(over.key) is item:
+            self._tell_next(item, self.view.home(over.key))
 
     def _take_over(self, item: Item) -> None:
         """Its owner is lost. Waits until all have told, where others may know more of it than we do."""
@@ -1137,7 +1153,8 @@
     def _untold(self, item: Item) -> None:
         """Its owner, of another cell, has told us all that it owns, and this was not among it."""
         ours = self.view.home(item.key) == self.me != item.at_home and item.state is State.KEEPING
-        if ours and self._outside(item.owner, item) and not item.clients and not item.askers:
+        waited = item.clients or item.askers or (item.owner, item.key) in self.early
+        if ours and self._outside(item.owner, item) and not waited:
             self._forget(item)
 
     def _orphan(self, told: Cover) -> None:
--- a/trials/emulated.py
+++ b/trials/emulated.py
@@ -452,7 +452,10 @@
         known = self.holders.get(item.key)
         if known is not None and not any(member in self.leases for member in known):
             self.lost.add(item.key)
-        self.holders[item.key] = {host.id, *item.keepers, *(known or ())}
+        # An owner of another cell is not asked by a new home: what its keepers know counts.
+        view = host.covering.view
+        outside = view.cells > 1 and item.keepers and view.cell(item.key) != view.cell_of(host.id)
+        self.holders[item.key] = {*item.keepers, *(known or ()), *(() if outside else (host.id,))}
         if not item.keepers and len(host.covering.view.members) != 1:
             self.uncovered.add(item.key)
         if self.trace == item.key:
