--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,7 +15,7 @@
 
 import msgspec
 import pytest
-from conftest import SETTINGS, categories
+from conftest import SETTINGS, address, bound, categories
 
 from standins.loopback import free_address
 from starlingwheel.net.lifecycle import stop
@@ -250,6 +250,31 @@
     nothing_comes(around, third, 0.01)
 
 
+def test_where_a_new_connection_comes_up_late_the_request_goes_by_one_that_has_rested_meanwhile(
+    make_surroundings,
+):
+    caps = SETTINGS["caps"] | {"connectTimeout": 5_000_000}
+    around = make_surroundings(settings={"caps": caps, "categories": categories(4000000)})
+    client = around.client()
+    client.sendall(around.request())
+    first = around.serve()
+    assert around.status(client) == 200
+    around.until(around.node.ledger.longest_idle)
+    client.sendall(around.request(x_trace_id="t2"))
+    late = around.until(lambda: next((c for c in around.node.ledger.upstream if not c.carried), None))
+    with held(around, late, WRITE):
+        around.received(first)
+        assert not around.logged("upstream.end") and late.errand is None
+    around.reply(first)
+    assert around.status(client) == 200
+    around.until(lambda: len(around.node.ledger.idle) == 2)
+    # What has come up in vain has nothing to rest from.
+    assert late.rested()
+    client.sendall(around.request(x_trace_id="t3"))
+    around.serve()
+    assert around.status(client) == 200
+
+
 def test_where_there_is_no_room_for_another_the_connection_is_used_at_once(answered):
     around, client, first = answered
     around.node.ledger.share = 1
@@ -471,6 +496,33 @@
     assert around.node.list.patience == discovery.AGENT
 
 
+@pytest.mark.parametrize("moved", [False, True])
+@pytest.mark.parametrize("answered", [0, 1])
+def test_of_two_calls_the_first_that_is_answered_stays(around, monkeypatch, answered, moved):
+    """On real sockets; when a second call begins, and how often, is played in test_told.py."""
+    monkeypatch.setattr(discovery, "EMPTY_LINE", 0.1)
+    around.watch(b"")
+    around.node.list.first = around.node.list.patience = 1000.0  # the story may take its time
+    around.node.list.hangs = 0.1
+    if moved:
+        around.discovery = around.keep(bound())
+        around.reconfigure(discovery=address(around.discovery))
+    calls = [around.accept(listener=around.discovery), around.accept(listener=around.discovery)]
+    around.node.list.due = float("inf")
+    word = {"version": 9, "full": True, "servers": [around.entry(0, state="leaving")]}
+    request, _ = around.received(calls[answered])
+    assert request.target.endswith(b"from=0" if moved else b"from=7")
+    calls[answered].sendall(b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n")
+    around.say(calls[answered], word)
+    around.until(lambda: around.node.list.version == 9)
+    around.received(calls[1 - answered])
+    assert around.until(lambda: around.read(calls[1 - answered])) == b"end"
+    assert around.node.list.current.address == address(around.discovery)
+    assert around.node.list.beside is None and len(around.logged("list.beside")) == 1
+    around.say(calls[answered], word | {"version": 10})
+    around.until(lambda: around.node.list.version == 10)
+
+
 # Stop, start and room.
 
 
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -1,4 +1,7 @@
-"""python -m trials NAME --seed N: play a trial; exit code 0: all promises kept, 1: one was broken."""
+"""python -m trials NAME --seed N: play a trial; exit code 0: all promises kept, 1: one was broken.
+
+python -m trials scale --help: the scale run.
+"""
 
 from __future__ import annotations
 
@@ -29,9 +32,13 @@
 
 
 def main() -> int:
+    if sys.argv[1:2] == ["scale"]:
+        from .scale.__main__ import main as scale  # has a command line of its own
+
+        return scale(sys.argv[2:])
     if sys.argv[1:] and sys.argv[1] in OWN:
         return OWN[sys.argv[1]](sys.argv[2:])
-    own = f"With a command line of their own: {', '.join(OWN)}."
+    own = f"With a command line of their own: scale, {', '.join(OWN)}."
     parser = argparse.ArgumentParser(prog="python -m trials", description=__doc__, epilog=own)
     parser.add_argument("trial", choices=TRIALS)
     parser.add_argument("--seed", type=int, default=1, help="names the timetable of faults (default: 1)")
