Scale run: a fleet of cells begins as one that has grown to its size

Cause: a fleet whose arbiter knows no cells doubles them every eight leases, so a run measured the mesh that it began as. Change: the entry is put at the arbiter's stand-in before anybody enters.

--- a/standins/arbiter.py
+++ b/standins/arbiter.py
@@ -106,6 +106,10 @@
             self.chore.cancel()
         await self.server.stop()
 
+    def put(self, key: str, value: str) -> None:
+        """Have an entry there without a call."""
+        self._put({"key": text(key.encode()), "value": text(value.encode())})
+
     # Faults.
 
     def cut_watches(self) -> None:
--- a/trials/scale/arbiter.py
+++ b/trials/scale/arbiter.py
@@ -80,6 +80,8 @@
                     "revision": arbiter.revision,
                     "entries": len(arbiter.entries),
                 }
+            case "put":
+                arbiter.put(given["key"], given["value"])
             case "members":
                 keys = [key for key in arbiter.entries if b"/members/" in key]
                 told = {"members": len(keys)}
--- a/trials/scale/run.py
+++ b/trials/scale/run.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from starlingwheel.fleet.records import Cut
+
 from ..policy import body
 from ..rig import CAPS, CATEGORIES, ROOT, ZONES
 from . import counts
@@ -54,6 +56,14 @@
     """The fleet did not get there: the run's result for that size."""
 
 
+def cells_of(size: int, cell_size: int) -> int:
+    """Into how many cells a fleet of that size is cut."""
+    count = 1
+    while size > count * cell_size:
+        count *= 2
+    return count
+
+
 class Run:
     def __init__(self, given: Given, out: Callable[[dict[str, Any]], None]) -> None:
         self.given, self.out = given, out
@@ -82,6 +92,9 @@
         }  # fmt: skip
         if given.cell_size:
             part["cell_size"] = given.cell_size
+            # As the arbiter has it of a fleet that has grown to this size: it would double step by step.
+            cut = Cut(cells_of(plan.size, given.cell_size))
+            await self.arbiter.ask("put", key="/scale/cells", value=msgspec.json.encode(cut).decode())
         number = 0
         for worker, count in zip(self.workers, [*plan.shared, *[1] * plan.alone], strict=True):
             members = []
