Scale run: hollow members that wait for their links don't look at their socket

Cause: each turn of the loop found the listening socket ready and wrote its actor one more word; seconds of processor time went into reading those at rest.

--- a/trials/scale/member.py
+++ b/trials/scale/member.py
@@ -25,6 +25,7 @@
 from starlingwheel.net.fleet.policy import Ruling
 from starlingwheel.net.fleet.start import Fleet, Who
 from starlingwheel.net.lifecycle.config import Config, terms_of
+from starlingwheel.net.loop import READ
 from starlingwheel.net.mail import CLOSE
 from starlingwheel.net.memory.buffers import Pool
 from starlingwheel.net.wire.client import BACKLOG
@@ -237,6 +238,8 @@
         self.named, fleet.links.named = fleet.links.named, self._named
         self.started, self.ready_s = loop.now(), 0.0
         fleet.links.queued = True  # its mail waits until it has begun
+        # Guards against a word of the listening socket in each turn until then.
+        loop.change(sock.fileno(), 0)
         fleet.module.begin()
         fleet.lessee.begin()
 
@@ -252,6 +255,7 @@
         links = self.fleet.links
         self.started = self.loop.now()
         links.begin()
+        self.loop.change(links.sock.fileno(), READ)
         links.queued = False
         if links.mailbox:
             self.loop.queue(links)
