A client that has gone is seen behind unread bytes; its HTTP/2 body is not written on

Seen: with bytes unread behind a request the look before an attempt saw the next byte and not the end behind it (http.py, Stream.ended): 300 attempts for 300 clients that had left. Over HTTP/2 the rest of a body that waited for room was written once there was room (streams.py, _heed), and a stream could be begun while nothing could be written, so that it began long after (_take). Ruled out: bursts of 300 clients that left unread, while connections came up, before a retry and before a second attempt, with the loop late by 0.15 s, cancelling allowed or not: 0 attempts before this change too.

Change: a second epoll tells the end behind unread bytes, asked only where some wait. A waiting body is given up before more of it is written. A stream is begun only where all before it has been written.

--- a/starlingwheel/net/loop.py
+++ b/starlingwheel/net/loop.py
@@ -46,7 +46,7 @@
         self.defect = defect
         # The wall clock is read once: timers need a clock that does not step, the list's times one scale.
         self.offset = time.time() - time.monotonic()
-        self.epoll = select.epoll()
+        self.epoll, self.glance = select.epoll(), select.epoll()
         self.watched: dict[int, Actor] = {}
         self.ready: deque[Actor] = deque()
         self.urgent: deque[Actor] = deque()
@@ -73,6 +73,14 @@
         if self.watched.pop(fd, None) is not None:
             self.epoll.unregister(fd)
 
+    def has_ended(self, fd: int) -> bool:
+        """The other side has ended by now, whatever it sent before that and lies unread."""
+        self.glance.register(fd, HANGUP)
+        try:
+            return bool(self.glance.poll(0, 1))
+        finally:
+            self.glance.unregister(fd)
+
     # Turns.
 
     def run(self) -> None:
@@ -88,6 +96,7 @@
         for actor in list(self.watched.values()):
             actor.coroutine.close()
         self.epoll.close()
+        self.glance.close()
 
     def turn(self, longest: float = inf) -> None:
         """Wait for something to happen, at most `longest`, then give each actor concerned one mail."""
--- a/starlingwheel/net/wire/http.py
+++ b/starlingwheel/net/wire/http.py
@@ -114,8 +114,9 @@
         return self._next() is None
 
     def ended(self) -> bool:
-        """The other side has ended, and all that it sent before has been read."""
-        return self._next() == b""
+        """The other side has ended, also behind what it has sent before and nobody has read yet."""
+        waits = self._next()
+        return waits == b"" or (waits is not None and self.loop.has_ended(self.sock.fileno()))
 
     def _next(self) -> bytes | None:
         """The next byte, left where it is; none: the other side has ended, None: it is silent."""
--- a/starlingwheel/net/wire/streams.py
+++ b/starlingwheel/net/wire/streams.py
@@ -53,7 +53,7 @@
 
     def __init__(self, node: Node, upstream: Upstream, errand: Errand) -> None:
         self.node, self.upstream = node, upstream
-        self.waiting: dict[Errand, None] = {errand: None}  # until it is up
+        self.waiting: dict[Errand, None] = {errand: None}  # until it is up and can be written to
         self.streams: dict[int, Exchange] = {}
         self.up = self.leaving = False
         self.stream: Stream | None = None
@@ -113,9 +113,11 @@
 
     def _turn(self) -> Coroutine[None]:
         """Write what is to be written, then one word of the socket or one mail."""
-        if data := self.http.data_to_send():
-            self.stream.unwritten.append(data)
-        written = self.stream.write()
+        while (written := self._flush()) and self.waiting:
+            # Guards against beginning a stream while nothing can be written, for a client that leaves then.
+            errand = next(iter(self.waiting))
+            del self.waiting[errand]
+            self._begin(errand)
         self.stream.want(READ if written else READ | WRITE)
         if self.leaving and not self.streams:
             raise Lost("upstream-closes")
@@ -129,9 +131,15 @@
         if not self.streams and self.loop.now() >= idle:
             raise Lost("idle")
 
+    def _flush(self) -> bool:
+        """Write on; True when nothing is left."""
+        if data := self.http.data_to_send():
+            self.stream.unwritten.append(data)
+        return self.stream.write()
+
     def _take(self, mail: Any) -> None:
         match mail:
-            case Carry(errand) if not self.up:
+            case Carry(errand) if not self.up or self.stream.unwritten:
                 self.waiting[errand] = None
             case Carry(errand):
                 self._begin(errand)
@@ -232,8 +240,12 @@
     def _heed(self, event: Any) -> None:
         match event:
             case h2.events.WindowUpdated() | h2.events.RemoteSettingsChanged():
-                for exchange in list(self.streams.values()):
-                    self._send(exchange)
+                for exchange in [e for e in self.streams.values() if e.unsent]:
+                    if unwanted(exchange.errand, self.loop.now()):
+                        # Guards against sending on for a client that has left, where no `Drop` may come.
+                        self._give_up(exchange.errand, Fate.CANCELLED)
+                    else:
+                        self._send(exchange)
             case h2.events.ConnectionTerminated():
                 self.leaving = True
                 last = event.last_stream_id if event.last_stream_id is not None else 0
@@ -289,7 +301,7 @@
         for exchange in list(self.streams.values()):
             self._end(exchange, Fate.BROKEN)
         for errand in self.waiting:
-            self._settle(errand, Fate.UNREACHED)
+            self._settle(errand, Fate.UNSENT if self.up else Fate.UNREACHED)
         self.waiting.clear()
         if self.stream is not None:
             self.stream.close()
--- /dev/null
+++ b/tests/test_gone_clients.py
@@ -0,0 +1,294 @@
+"""Stories of many clients that leave in one moment: no attempt for them, first or further, begins afterwards.
+
+Attempts are counted where they arrive. The loop turns only while a story waits, so a late loop is one that a
+story does not turn: all that happens meanwhile is read in the turns after.
+"""
+
+import contextlib
+import re
+import socket
+import time
+
+import pytest
+from conftest import SETTINGS
+from test_endings import LEAVE, leave
+from test_streams import NEW, Peer
+
+from starlingwheel.net.loop import HANGUP, MOST_EVENTS, WRITE
+from starlingwheel.net.wire.upstream import RESTED
+
+MANY = MOST_EVENTS + 44  # more than one turn reads the ends of
+WINDOW = 65_535  # bytes that an upstream takes over HTTP/2 before it says that it takes more
+ATTEMPT = re.compile(rb"(?:GET|POST) /(?:look|buy|move)/")
+HEARD = pytest.mark.parametrize("heard", [True, False], ids=["heard", "not yet heard"])
+CANCEL = pytest.mark.parametrize("cancel", [True, False], ids=["cancel", "no cancel"])
+
+
+@pytest.fixture
+def crowd(make_surroundings):
+    def make(cancel=True, **given):
+        caps = SETTINGS["caps"] | {"cancel": cancel, "connectTimeout": 5000000}
+        given["settings"] = {"caps": caps} | given.get("settings", {})
+        return Crowd(make_surroundings(limits={"sockets": 4096}, **given))
+
+    return make
+
+
+class Crowd:
+    """Many clients of one sidecar, and what upstreams get for them."""
+
+    def __init__(self, around):
+        self.around, self.node, self.upstreams = around, around.node, []
+        for listener in around.listeners:
+            listener.listen(2 * MANY)
+        balancer = self.node.module.runner.balancer
+        balancer.fit = balancer.line = 1e9  # as many upstreams would take as many
+
+    def ask(self, count=MANY, category="look", **headers):
+        body = b"" if category == "look" else b"one"
+        return [self.around.ask(category, body, x_trace_id=f"c{i}", **headers) for i in range(count)]
+
+    def keep_connections(self):
+        """So many rest open that each attempt to come could be written at once."""
+        clients = self.ask()
+        self.until_begun(MANY)
+        for sock in self.upstreams:
+            self.around.reply(sock)
+        self.around.until(lambda: len(self.node.ledger.idle) == MANY)
+        self.leave(clients, late=0)
+        self.around.until(lambda: not self.node.ledger.clients)
+        self.around.let_pass(RESTED * self.node.shortest)
+
+    @contextlib.contextmanager
+    def unheard(self):
+        """The end of no client is read meanwhile."""
+        loop, actors = self.node.loop, [c for c in self.node.ledger.clients if c.job is not None]
+        descriptors = [actor.stream.sock.fileno() for actor in actors]
+        for descriptor in descriptors:
+            loop.forget(descriptor)
+        yield
+        for descriptor, actor in zip(descriptors, actors, strict=True):
+            if not actor.ended:
+                loop.watch(descriptor, actor, HANGUP)
+
+    def leave(self, clients, how="closes", late=0.15):
+        """All at once, while the loop is late."""
+        for client in clients:
+            leave(self.around, client, how)
+        time.sleep(late)
+
+    def attempts(self):
+        """Those that have begun since it was last looked."""
+        while found := self.around.accept_any():
+            self.upstreams.append(found[1])
+        begun = 0
+        for sock in self.upstreams:
+            while sock.fileno() >= 0 and (data := self.around.read(sock)) and data != b"end":
+                begun += len(ATTEMPT.findall(data))
+        return begun
+
+    def until_begun(self, count):
+        begun = 0
+
+        def enough():
+            nonlocal begun
+            begun += self.attempts()
+            return begun >= count
+
+        self.around.until(enough)
+        assert begun == count
+
+    def begun_meanwhile(self):
+        begun = 0
+        for _ in range(10):
+            self.around.let_pass(0.02)
+            begun += self.attempts()
+        return begun
+
+    def all_settled(self):
+        """No client is left; the attempts that began until then and just after."""
+        self.around.until(lambda: not self.node.ledger.clients)
+        return self.begun_meanwhile()
+
+
+@contextlib.contextmanager
+def connections_come_up_late(around):
+    """What new connections to upstreams say is heard only at the end of it."""
+    loop, kept = around.node.loop, []
+    watch = loop.watch
+
+    def watched(descriptor, actor, mask):
+        if mask == WRITE and hasattr(actor, "upstream"):
+            kept.append((descriptor, actor, mask))
+        else:
+            watch(descriptor, actor, mask)
+
+    loop.watch = watched
+    yield kept
+    loop.watch = watch
+    for descriptor, actor, mask in kept:
+        if not actor.ended:
+            watch(descriptor, actor, mask)
+
+
+@CANCEL
+@pytest.mark.parametrize("how", LEAVE)
+@pytest.mark.parametrize("category", ["look", "buy", "move"])
+def test_what_a_burst_left_unread_is_not_begun(crowd, cancel, how, category):
+    many = crowd(cancel)
+    many.keep_connections()
+    clients = many.ask(category=category, idempotency_key="k" if category == "move" else None)
+    many.leave(clients, how)
+    assert many.all_settled() == 0
+
+
+@CANCEL
+@HEARD
+@pytest.mark.parametrize("how", LEAVE)
+def test_nothing_is_begun_on_connections_that_come_up_after_a_burst_has_left(crowd, cancel, heard, how):
+    many = crowd(cancel)
+    with connections_come_up_late(many.around) as kept:
+        clients = many.ask()
+        many.around.until(lambda: len(kept) == MANY)
+        if heard:
+            many.leave(clients, how)
+            many.around.until(lambda: not many.node.ledger.clients)
+    if not heard:
+        with many.unheard():
+            many.leave(clients, how)
+            assert many.begun_meanwhile() == 0
+    assert many.all_settled() == 0
+
+
+@CANCEL
+@pytest.mark.parametrize("kept", [True, False], ids=["kept connections", "new connections"])
+def test_work_turned_away_is_not_tried_again_for_a_burst_that_has_left(crowd, cancel, kept):
+    many = crowd(cancel, upstreams=2)
+    if kept:
+        many.keep_connections()
+    clients = many.ask()
+    many.until_begun(MANY)
+    with many.unheard():
+        for sock in many.upstreams:
+            many.around.reply(sock, status=503, extra="X-Never-Ran: 1\r\n")
+        many.leave(clients)
+        assert many.begun_meanwhile() == 0
+    assert many.all_settled() == 0
+
+
+@CANCEL
+@HEARD
+def test_no_second_attempt_is_begun_for_a_burst_that_has_left(crowd, cancel, heard):
+    many, crowded = crowd(cancel, upstreams=2), True
+    balancer = many.node.module.runner.balancer
+    balancer._delay, balancer._crowded = lambda wi: 0.1, lambda: crowded
+    clients = many.ask()
+    many.until_begun(MANY)
+    crowded = False
+    with contextlib.nullcontext() if heard else many.unheard():
+        many.leave(clients)  # by then a second attempt is due for each
+        assert many.begun_meanwhile() == 0
+    assert many.all_settled() == 0
+
+
+@CANCEL
+def test_a_burst_that_sent_more_behind_its_requests_is_seen_to_have_left(crowd, cancel):
+    """What lies unread hides the end from one who looks at the next byte only."""
+    many = crowd(cancel)
+    with connections_come_up_late(many.around) as kept:
+        clients = many.ask()
+        many.around.until(lambda: len(kept) == MANY)
+    with many.unheard():
+        for client in clients:
+            client.sendall(many.around.request(x_trace_id="behind"))
+            client.shutdown(socket.SHUT_WR)
+        assert many.begun_meanwhile() == 0
+    assert many.all_settled() == 0
+
+
+# HTTP/2: many attempts on one connection.
+
+
+@pytest.fixture
+def shared(crowd):
+    def make(cancel):
+        caps = NEW["caps"] | {"cancel": cancel, "connectTimeout": 5000000}
+        many = crowd(settings=NEW | {"caps": caps})
+        many.around.hear()
+        return many
+
+    return make
+
+
+@CANCEL
+@HEARD
+def test_over_http_2_nothing_is_begun_for_a_burst_that_left_before_the_connection_was_up(
+    shared, cancel, heard
+):
+    many = shared(cancel)
+    with connections_come_up_late(many.around) as kept:
+        clients = many.ask(90)
+        jobs = many.node.module.jobs
+        many.around.until(lambda: sum(len(job.errands) for job in jobs.values()) == 90)
+        if heard:
+            many.leave(clients)
+            many.around.until(lambda: not many.node.ledger.clients)
+    assert len(kept) == 1
+    with many.unheard():
+        if not heard:
+            many.leave(clients)
+        peer = Peer(many.around)
+        for _ in range(10):
+            peer.read()
+            many.around.let_pass(0.01)
+    assert not peer.asked
+
+
+@CANCEL
+@HEARD
+@pytest.mark.parametrize("how", LEAVE)
+def test_over_http_2_the_rest_of_a_body_is_not_written_for_a_client_that_has_left(
+    shared, cancel, heard, how, monkeypatch
+):
+    monkeypatch.setattr(Peer, "acknowledges", False)
+    many = shared(cancel)
+    around = many.around
+    client = around.ask("buy", bytes(WINDOW + 1))
+    peer = Peer(around)
+    peer.until(lambda: sum(map(len, peer.bodies.values())) == WINDOW)
+    (stream,) = peer.asked
+    with contextlib.nullcontext() if heard else many.unheard():
+        many.leave([client], how)
+        if heard:
+            around.until(lambda: not many.node.ledger.clients)
+        peer.http.increment_flow_control_window(WINDOW)
+        peer.http.increment_flow_control_window(WINDOW, stream)
+        peer.flush()
+        peer.until(lambda: stream in peer.resets)
+    assert not peer.ended and len(peer.bodies[stream]) == WINDOW
+    around.until(lambda: not many.node.module.jobs)
+    assert many.node.pool.in_use == 0
+
+
+@CANCEL
+def test_over_http_2_no_stream_is_begun_where_nothing_can_be_written(shared, cancel):
+    many = shared(cancel)
+    around = many.around
+    first = around.ask()
+    peer = Peer(around)
+    peer.answer(*peer.taken(1))
+    assert around.status(first) == 200
+    (connection,) = many.node.ledger.upstream
+    connection.stream.write = lambda: not connection.stream.unwritten  # the kernel takes nothing
+    stays, leaves = around.ask(x_trace_id="stays"), around.ask(x_trace_id="leaves")
+    around.until(lambda: sum(len(job.errands) for job in many.node.module.jobs.values()) == 2)
+    around.let_pass(0.05)
+    with many.unheard():
+        many.leave([leaves])
+        del connection.stream.write
+        peer.until(lambda: len(peer.ended) > 1)
+        around.let_pass(0.05)
+    peer.read()
+    assert [asked["x-trace-id"] for asked in peer.asked.values()] == ["t1", "stays"]
+    peer.answer(peer.ended[-1])
+    assert around.status(stays) == 200
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -16,6 +16,8 @@
 class Peer:
     """The upstream's end of one connection."""
 
+    acknowledges = True  # what it has got: there is room for more
+
     def __init__(self, around, i=0, sock=None):
         self.around, self.sock = around, sock or around.accept(i)
         self.http = h2.connection.H2Connection(h2.config.H2Configuration(client_side=False))
@@ -34,7 +36,8 @@
                     self.asked[event.stream_id] = {n.decode(): v.decode() for n, v in event.headers}
                 case h2.events.DataReceived():
                     self.bodies[event.stream_id] = self.bodies.get(event.stream_id, b"") + event.data
-                    self.http.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
+                    if self.acknowledges:
+                        self.http.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
                 case h2.events.StreamReset():
                     self.resets[event.stream_id] = event.error_code
                 case h2.events.StreamEnded():
