Floods take no descriptors from upstreams and operators, and halves make room when full

Seen: a process with 96 descriptors, upstreams' connections open but four, a flood of silent connections and calls found at once: accept fails with EMFILE (connections.py, Ledger.limit: nothing was set aside for calls that were being closed, and 16 were too few for what a process has open anyway). And with the clients' share full nobody was closed until the time of half requests was up (client.py, Listener._accept): requests in the backlog behind a flood of halves waited 8 s and were deferred, at 96, 128 and 256.

Change: calls are counted twice, at most that many are let in at a time, at least 20 descriptors are kept for the process itself; where the listener lets nobody in it closes up to 16 of no use at each look.

--- a/starlingwheel/net/memory/connections.py
+++ b/starlingwheel/net/memory/connections.py
@@ -8,6 +8,7 @@
 OPEN = 7 / 8  # part of that many connections of clients from which on those of no use are closed
 CALLS = 1 / 32  # part of the limit for operators' calls, where they have an address
 SPARE = 1 / 16  # part of the limit for the list, peers and the log; as much again for clients of no use
+FIXED = 20  # of those, at least: what a process has open with nobody there, and a few files for a moment
 
 
 class Ledger:
@@ -29,13 +30,13 @@
         Clients hold no more of them with two processes than with one, and come over to the new one all at
         once: what is shared is what upstreams may have.
         """
-        self.spare = max(16, int(most * SPARE))
+        self.spare = max(FIXED, int(most * SPARE))
         self.calls = max(8, int(most * CALLS)) if self.called else 0
         self.most_requests = max(1, int(most * REQUESTS))  # in hand at a time
         # Guards against connections that asked once and stay using up what clients may hold.
         self.client_share = max(1, int(self.most_requests * OPEN))
-        # For upstreams.
-        self.share = max(1, (most - self.most_requests - 2 * self.spare - self.calls) // processes)
+        # For upstreams. Calls are counted twice: those that make room for others are open for a turn more.
+        self.share = max(1, (most - self.most_requests - 2 * self.spare - 2 * self.calls) // processes)
 
     @property
     def full(self) -> bool:
--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -81,6 +81,8 @@
         self.more = False
         for _ in range(AT_ONCE):
             if self.node.ledger.closed:
+                # Guards against those that are of no use keeping the others waiting until their time is up.
+                self._make_room()
                 return False
             try:
                 sock, _ = self.sock.accept()
@@ -101,6 +103,11 @@
         self.more = True
         return True
 
+    def _make_room(self) -> None:
+        for _ in range(AT_ONCE // 4):
+            if expendable := self.node.ledger.client_to_close(self.loop.now() - PROMPT * QUIET):
+                expendable.post(CLOSE)
+
 
 class Client(Actor):
     """One connection of a client: one request after another, read, answered and written top to bottom."""
--- a/starlingwheel/net/wire/operators.py
+++ b/starlingwheel/net/wire/operators.py
@@ -71,7 +71,8 @@
             self.node.look_beside()
 
     def _accept(self) -> None:
-        for _ in range(AT_ONCE):
+        # Those that make room give their descriptors back by the next turn: until then both are kept.
+        for _ in range(min(AT_ONCE, self.node.ledger.calls)):
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,161 @@
+"""Floods that use up descriptors: upstreams' connections and operators' calls go on getting theirs.
+
+A real process under its own limit. It is stopped while a flood gathers, so that it finds all of it at once.
+"""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import msgspec
+import pytest
+from conftest import SETTINGS, address, bound, categories
+
+from starlingwheel.net.memory.connections import Ledger
+
+WAITS = 1_000_000  # microseconds for which a due time lasts: long enough for a busy machine
+ASKED = b"GET /look/1 HTTP/1.1\r\nHost: a\r\nX-Trace-Id: %s\r\nX-Qos: look\r\nX-Expires-In-Ms: 19000\r\n"
+
+
+class Upstream:
+    """Answers each request once it may, and closes: the next one needs another connection."""
+
+    def __init__(self):
+        self.listener, self.ran, self.may_answer = bound(backlog=512), [], threading.Event()
+        self.listener.settimeout(None)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.listener.accept()
+                threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        with sock, contextlib.suppress(OSError):
+            head = b""
+            while b"\r\n\r\n" not in head:
+                if not (data := sock.recv(4096)):
+                    return
+                head += data
+            self.ran.append(head.lower().split(b"x-trace-id: ")[1].split(b"\r\n")[0])
+            self.may_answer.wait()
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nfine")
+
+
+class Process:
+    """A sidecar with so many descriptors, and whoever comes to it."""
+
+    def __init__(self, folder, sockets):
+        self.upstream, self.open = Upstream(), []
+        places = [bound(), bound()]
+        self.listen, self.mgmt = (place.getsockname() for place in places)
+        settings = SETTINGS | {"categories": categories(8 * WAITS), "replicasOfMe": 1}
+        settings["caps"] = SETTINGS["caps"] | {"connectTimeout": WAITS, "probing": False}
+        servers = [
+            {"id": f"s{i}", "addr": address(self.upstream.listener), "state": "active"} for i in range(400)
+        ]
+        told = {
+            "listen": address(places[0]), "mgmt": address(places[1]), "discovery": "127.0.0.1:1",
+            "limits": {"memory_mb": 192, "sockets": sockets}, "settings": settings,
+            "known": {"version": 7, "full": True, "servers": servers},
+        }  # fmt: skip
+        for place in places:
+            place.close()
+        (folder / "config.json").write_bytes(msgspec.json.encode(told))
+        environment = os.environ | {"EDGE_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)}
+        self.log = folder / "log"
+        with open(self.log, "wb") as log:
+            command = [sys.executable, "-m", "starlingwheel"]
+            self.process = subprocess.Popen(command, env=environment, stdout=log)
+        while self.status(self.call()) != 200:
+            time.sleep(0.02)
+
+    def close(self):
+        self.process.kill()
+        self.process.wait()
+        self.upstream.may_answer.set()
+        self.upstream.listener.close()
+        for sock in self.open:
+            sock.close()
+
+    def connection(self, place, text=b""):
+        sock = socket.socket()
+        sock.settimeout(10)
+        with contextlib.suppress(OSError):
+            sock.connect(place)
+            sock.sendall(text)
+        self.open.append(sock)
+        return sock
+
+    def call(self):
+        return self.connection(self.mgmt, b"GET /_ready HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    def ask(self, trace):
+        return self.connection(self.listen, ASKED % trace + b"\r\n")
+
+    def status(self, sock):
+        """Of the answer; None: it was closed without one."""
+        got = b""
+        with contextlib.suppress(OSError):
+            while b"\r\n" not in got and (data := sock.recv(4096)):
+                got += data
+        return int(got.split()[1]) if got else None
+
+    @contextlib.contextmanager
+    def stopped(self):
+        self.process.send_signal(signal.SIGSTOP)
+        yield
+        self.process.send_signal(signal.SIGCONT)
+
+    def until(self, happened):
+        end = time.monotonic() + 20
+        while not happened():
+            assert time.monotonic() < end, "it has not happened"
+            time.sleep(0.01)
+
+    def logged(self, event):
+        lines = self.log.read_bytes().splitlines()
+        return [line for line in map(json.loads, lines) if line["event"] == event]
+
+
+@pytest.fixture
+def make_process(tmp_path):
+    made = []
+
+    def make(sockets):
+        made.append(Process(tmp_path, sockets))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+@pytest.mark.parametrize("kind", ["silent", "halves"])
+@pytest.mark.parametrize("sockets", [96, 128, 256])
+def test_a_flood_keeps_neither_upstreams_nor_operators_from_their_descriptors(make_process, sockets, kind):
+    """Upstreams have all of their connections but a few; with each flood another one of those is needed."""
+    sidecar, ledger, few = make_process(sockets), Ledger(sockets, called=True), 4
+    asked = [sidecar.ask(b"early-%d" % i) for i in range(min(ledger.share, ledger.client_share) - few)]
+    sidecar.until(lambda: len(sidecar.upstream.ran) == len(asked))
+    for turn in range(few):
+        with sidecar.stopped():
+            for _ in range(min(120, 2 * ledger.most_requests)):
+                sidecar.connection(sidecar.listen, b"" if kind == "silent" else ASKED % b"half")
+            for _ in range(min(30, 3 * ledger.calls)):
+                sidecar.connection(sidecar.mgmt, b"" if kind == "silent" else b"GET /_re")
+            asked.append(sidecar.ask(b"late-%d" % turn))
+            call = sidecar.call()
+        assert sidecar.status(call) == 200
+    sidecar.until(lambda: len(sidecar.upstream.ran) == len(asked))
+    sidecar.upstream.may_answer.set()
+    assert [sidecar.status(client) for client in asked] == [200] * len(asked)
+    assert not sidecar.logged("accept.failed") and not sidecar.logged("request.unfit")
+    assert {line["reason"] for line in sidecar.logged("upstream.end")} <= {"upstream-closes"}
