Work that finds nobody earns its part of a trial, so that an outage of all has an end

Cause: Balancer.work earns trials (TRIALS) where something is sent; with all set aside and trials below 0, _is_fit refuses all, nothing is sent and nothing earned, for good. Ruled out: pauses of those set aside (4 s later the same); after a hang, where trials were not used up, work was answered. Change: _draw with nobody to choose from earns the same part. Measured: the story in test_health.py: 0 of 500 without the line, over 400 and the last hundred all with it.

--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -431,6 +431,8 @@
                 choice = near
                 break
         if not choice:
+            # Guards against all being set aside for good: nothing is sent then that would earn a trial.
+            self.trials = min(1.0, self.trials + self.trial)
             return None
         if known := [c for c in choice if c[0].listing.cell == wi.home]:
             # Guards against a popular key filling its cell: one that takes longer than the others do is left.
@@ -477,8 +479,7 @@
     def _plan_afresh(self) -> None:
         if self.stale_plan:
             self.stale_plan = False
-            # Guards against more connections than upstreams accept: where an open one has a price, each
-            # sidecar draws from the first that are ready in an order of its own.
+            # Guards against more connections than upstreams accept: each draws from the first of its order.
             every = sorted(self.upstreams.values(), key=self._order)
             ready = [u for u in every if u.listing.condition is Condition.READY]
             self.tagged = {u.tag: u for u in self.upstreams.values()}
@@ -761,8 +762,7 @@
             u.unreached = u.unreached and u.trickle < inf
             return
         u.failures += 1
-        # Guards against setting the whole fleet aside for a fault that is common or ours.
-        # One that can't be reached is not condemned by it: what runs over open connections goes on.
+        # Guards against setting all aside for a fault common to all, or ours. The unreached go on as before.
         chance = (BY_CHANCE if u.unreached else self.bad / self.outcomes) ** u.failures
         # Guards against rows that are bound to come up where one upstream gets many hand-offs in a due time.
         chance *= max(1.0, self.lately / (STALE * self._ready() + 1))
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -114,3 +114,19 @@
         for ho in host.of(wi):
             host.end(ho, Fate.BROKEN if ho.upstream is sick and i > 400 else Fate.FINISHED)
     assert host.runner.balancer._suspect(sick) or sick.trickle < float("inf")
+
+
+def test_after_an_outage_of_all_upstreams_work_is_answered_again(host):
+    def ask(fate):
+        wi = host.take()
+        while pending := [ho for ho in host.of(wi) if ho.pending]:
+            host.end(pending[0], fate)
+        host.later(0.01)
+        return host.answers(wi) == ["finished"]
+
+    host.serve(40)
+    for _ in range(200):
+        ask(Fate.ERROR)
+    host.later(4.0)  # twice the longest pause of one that is set aside
+    finished = [ask(Fate.FINISHED) for _ in range(500)]
+    assert sum(finished) > 400 and all(finished[-100:])
