A request that waits for a late connection looks again for a rested one

That this was the cause is a guess; the play follows. Test: the story of the late connection with a look in vain; it fails with one look (seen).

--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -322,17 +322,17 @@
         self.stream.want(WRITE)
         # Guards against a connection that never comes up: a machine that vanished says nothing. What waits
         # has not run, so it is given up while there is time for another upstream.
-        now = self.loop.now()
-        within = now + min(self.node.terms.connect_within, UP * self.node.shortest)
-        until = min(within, self.errand.until)
-        if (yield from self._await(until, "never-came-up", now + RESTED * self.node.shortest)) is None:
-            if kept := self.upstream.rested():
+        within = self.loop.now() + min(self.node.terms.connect_within, UP * self.node.shortest)
+        up = None
+        while up is None:
+            errand = self.errand
+            until = within if errand is None else min(within, errand.until)
+            look = inf if errand is None else self.loop.now() + RESTED * self.node.shortest
+            up = yield from self._await(until, "never-came-up", look)
+            if up is None and (kept := self.upstream.rested()):
                 # Guards against waiting for one that comes up late where another has rested meanwhile.
-                errand, self.errand = self.errand, None
-                errand.connection = kept
+                self.errand, errand.connection = None, kept
                 kept.post(Carry(errand))
-                until = within
-            yield from self._await(until, "never-came-up")
         self.stream.came_up()
 
     # One errand.
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -249,9 +249,11 @@
     nothing_comes(around, third, 0.01)
 
 
+@pytest.mark.parametrize("vain", [0, 1])
 def test_where_a_new_connection_comes_up_late_the_request_goes_by_one_that_has_rested_meanwhile(
-    make_surroundings,
+    make_surroundings, monkeypatch, vain
 ):
+    """`vain`: looks at which the rested one is in use by others."""
     caps = SETTINGS["caps"] | {"connectTimeout": 5_000_000}
     around = make_surroundings(settings={"caps": caps, "categories": categories(4000000)})
     client = around.client()
@@ -261,6 +263,8 @@
     around.until(around.node.ledger.longest_idle)
     client.sendall(around.request(x_trace_id="t2"))
     late = around.until(lambda: next((c for c in around.node.ledger.upstream if not c.carried), None))
+    looks, rested = iter([True] * vain), wire.Upstream.rested
+    monkeypatch.setattr(wire.Upstream, "rested", lambda u: None if next(looks, False) else rested(u))
     with held(around, late, WRITE):
         around.received(first)
         assert not around.logged("upstream.end") and late.errand is None
