--- a/trials/scale/slopes.py
+++ b/trials/scale/slopes.py
@@ -118,11 +118,13 @@
     return {size: sum(values) / len(values) for size, values in sorted(found.items())}
 
 
-def ranges(by_size: Mapping[int, float], role: str, phase: str) -> Iterable[tuple[str, dict[int, float]]]:
+def ranges(
+    by_size: Mapping[int, float], role: str, phase: str, knee: int
+) -> Iterable[tuple[str, dict[int, float]]]:
     """What is fitted by itself: at rest a member says no more beyond the knee."""
     if phase == "rest" and role != "arbiter":
-        below = {n: v for n, v in by_size.items() if n <= KNEE}
-        above = {n: v for n, v in by_size.items() if n > KNEE}
+        below = {n: v for n, v in by_size.items() if n <= knee}
+        above = {n: v for n, v in by_size.items() if n > knee}
         for some in (below, above):
             if len(some) > 1:
                 yield f"{min(some)} to {max(some)}", some
@@ -149,7 +151,7 @@
     return told
 
 
-def table(lines: list[dict[str, Any]], size: int) -> str:
+def table(lines: list[dict[str, Any]], size: int, knee: int = KNEE) -> str:
     """Markdown. `size`: what the fit says of that one; beyond the largest measured it is extrapolated."""
     rows = [
         f"| cells of | phase | role | figure | measured at | constant | a member | a pair | remains "
@@ -160,7 +162,7 @@
     for cell_size, phase, role in kinds:
         for figure in FIGURES:
             by_size = points(lines, role, phase, figure, cell_size)
-            for span, some in ranges(by_size, role, phase):
+            for span, some in ranges(by_size, role, phase, knee):
                 if any(some.values()) and len(some) >= ROWS:
                     rows.append(_row(str(cell_size or "all"), phase, role, figure, span, checked(some), size))
     return "\n".join(rows)
@@ -184,6 +186,9 @@
     parser = argparse.ArgumentParser(prog="python -m trials.scale.slopes", description=__doc__)
     parser.add_argument("files", nargs="+", type=Path, help="lines of trials.scale")
     parser.add_argument("--size", type=int, default=1600, help="what the fits say of it (1600)")
+    parser.add_argument(
+        "--knee", type=int, default=KNEE, help=f"words a second that a member said at most ({KNEE})"
+    )
     parser.add_argument("--phase", help="only this one")
     parser.add_argument("--role", help="only this one")
     given = parser.parse_args(arguments)
@@ -197,7 +202,7 @@
     if not lines:
         print("trials.scale.slopes: no line has a figure", file=sys.stderr)
         return 2
-    print(table(lines, given.size))
+    print(table(lines, given.size, given.knee))
     return 0
 
 
