--- a/starlingwheel/net/fleet/arbiter.py
+++ b/starlingwheel/net/fleet/arbiter.py
@@ -19,8 +19,8 @@
 import h11
 import msgspec
 
-from ...fleet.records import MEMBERS, NAMES, Compare, Entry, Records, Txn, equal
-from ...fleet.view import Member, View
+from ...fleet.records import CELLS, MEMBERS, NAMES, Compare, Entry, Records, Txn, equal
+from ...fleet.view import Member
 from ..actor import Actor, Coroutine
 from ..loop import READ, WRITE, Loop, Ready
 from ..memory.buffers import Pool
@@ -32,7 +32,7 @@
 PAUSES = (0.05, 1.0)  # seconds before the next try: the first, and where the doubling ends
 LONGEST = 1 << 22  # bytes of one answer
 LINE = 1 << 20  # bytes of one line of a watch
-MOST = 4000  # entries that are believed
+MOST = 16_000  # entries that are believed: of a member three, while a policy is voted on
 QUIET = 3.0  # leases without a word after which a watch is begun anew
 RANGE, TXN, WATCH = "/v3/kv/range", "/v3/kv/txn", "/v3/watch"
 GRANT, KEEPALIVE = "/v3/lease/grant", "/v3/lease/keepalive"
@@ -388,7 +388,7 @@
             ranged = yield from self.call(RANGE, reach, Ranged)
             if len(ranged.kvs) > MOST:
                 raise Unfit("too-many")
-            self.records = Records()
+            self.records = Records(self.records.cells if self.records.revision else 0)
             for pair in ranged.kvs:
                 self._put(pair)
             self.revision = number(ranged.header.revision)
@@ -419,13 +419,13 @@
         last, members = "", False
         for event in seen.events:
             if members and event.kv.mod_revision != last:
-                # Each change of the members by itself: a view between may have been somebody's.
+                # Each change of the members or cells by itself: a view between may have been somebody's.
                 self._say(gap=False, members=True)
                 members = False
             last = event.kv.mod_revision
             self.revision = max(self.revision, number(last))
             key = self._key(event.kv)
-            members = members or key.startswith(MEMBERS)
+            members = members or key.startswith(MEMBERS) or key == CELLS
             if event.type == "DELETE":
                 self.records.erase(key)
             else:
@@ -456,5 +456,5 @@
     def _say(self, gap: bool, members: bool) -> None:
         self.records.revision = self.revision
         if members:
-            self.tell(Viewed(View(self.records.members.values()), gap))
+            self.tell(Viewed(self.records.view(), gap))
         self.tell(Recorded(self.records.copy(), gap))
--- a/starlingwheel/net/fleet/start.py
+++ b/starlingwheel/net/fleet/start.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ...decisions.terms import Terms
+from ...fleet.cells import Cutting
 from ...fleet.frames import VERSION, Hello
 from ...fleet.part import FleetPart
 from ...fleet.records import Txn
@@ -22,7 +23,7 @@
 from .arbiter import Clerk, Lessee, Onlooker, Scribe
 from .hosting import Hosting
 from .links import Links
-from .mail import WAKE, Lapsed, Recorded, Strike, Viewed
+from .mail import WAKE, Lapsed, Reach, Recorded, Strike, Viewed
 from .policy import Asker, Ruling
 
 if TYPE_CHECKING:
@@ -72,9 +73,11 @@
         self.clerk = Clerk(*given)
         self.ruling = ruling(self.me)
         self.module = module(self.me, self.ruling, self._lapsed)
+        self.cutting = Cutting(self.me, float(part.lease_s), part.cell_size, loop.now())
         self.scribe = Scribe(*given, due=self._due, lease_id=lambda: self.lessee.held)
         hello = Hello(part.name, VERSION, self.me)
         self.links = Links(loop, sock, hello, self._tell, self.module.beat, self.ruling.says, log, chance)
+        self.module.reaching = lambda member: self.links.post(Reach(member))
         self.asker = Asker(self.links, self.ruling.following, self.onlooker, chance, float(part.lease_s))
 
     @property
@@ -98,8 +101,12 @@
         due = following.due()
         if isinstance(due, Txn):
             return due
-        other = self.module.zoning.due(now, following.leased)
-        return other if isinstance(other, Txn) else min(due, other)
+        self.cutting.now = now
+        for other in (self.module.zoning.due(now, following.leased), self.cutting.due()):
+            if isinstance(other, Txn):
+                return other
+            due = min(due, other)
+        return due
 
     def policy_told(self) -> dict[str, Any]:
         """For operators: what holds, what is proposed and who has said what, what was before."""
@@ -132,12 +139,20 @@
     def told(self) -> dict[str, Any]:
         """For operators: who is in, who is heard, what is covered, and why not."""
         covering, now = self.module.covering, self.loop.now()
+        view = covering.view
+        ours = view.of_cell(view.cell_of(self.me))
         return {
             "member": self.me,
             "in_view": self.me in covering.view,
             "lease_s": round(max(0.0, covering.lease_until - now), 3),
             "settled": covering.settled_now,
-            "view": [msgspec.structs.asdict(member) for member in covering.view.members.values()],
+            "cells": {
+                "count": view.cells,
+                "ours": view.cell_of(self.me),
+                "members": list(ours),
+                "fleet_members": len(view.members),
+            },
+            "view": [msgspec.structs.asdict(member) for member in ours.values()],
             "links": sorted(covering.links),
             "items": Counter(item.state.value for item in covering.items.values()),
             "kept_bytes": covering.kept_bytes,
@@ -181,6 +196,8 @@
         if isinstance(mail, Viewed):
             self.links.post(mail)
         elif isinstance(mail, Recorded):
+            self.cutting.now = self.loop.now()
+            self.cutting.recorded(mail.records)
             self.scribe.post(WAKE)
 
     def begin(self) -> None:
--- /dev/null
+++ b/tests/test_fleet_links.py
@@ -0,0 +1,687 @@
+"""Stories of links between members of several cells: calls that cross, links that rest, what is refused."""
+
+import random
+import socket
+from collections import Counter
+
+import msgspec
+import pytest
+
+from starlingwheel.fleet import common, frames
+from starlingwheel.fleet.policy import Following, Kept, Word
+from starlingwheel.fleet.records import Decision, Policy, Records
+from starlingwheel.fleet.view import Member, View
+from starlingwheel.net.fleet import arbiter as client
+from starlingwheel.net.fleet import links as under_test
+from starlingwheel.net.fleet.links import Links, framed
+from starlingwheel.net.fleet.mail import Framed, LinkDown, LinkUp, Reach, Say, Strike, Unreached, Viewed
+from starlingwheel.net.fleet.policy import Asker
+from starlingwheel.net.loop import Loop
+
+WORK, MORE = frames.Find(b"k", b"m"), frames.Find(b"l", b"m")  # words about work
+STEP = 0.001  # seconds between turns
+
+
+class Clock:
+    """Goes on with the turns of the story, however busy the machine is."""
+
+    def __init__(self):
+        self.time = 1000.0
+
+    def __call__(self):
+        return self.time
+
+
+class One:
+    """A member: its links on a loop of their own, and what they tell."""
+
+    def __init__(self, clock, name, hello=None):
+        self.id = f"{name}.00"
+        self.defects, self.told, self.needed = [], [], set()
+        self.loop = Loop(lambda actor, error: self.defects.append(error))
+        self.loop.now = clock
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen()
+        self.member = Member(self.id, name, "{}:{}".format(*self.sock.getsockname()))
+        self.lines = []
+        hello = hello or frames.Hello("f", frames.VERSION, self.id)
+        self.links = Links(
+            self.loop, self.sock, hello, self.told.append, self.beat, lambda asked: [],
+            lambda event, **fields: self.lines.append((event, fields)), random.Random(name),
+        )  # fmt: skip
+        self.links.begin()
+
+    def beat(self, member, worded):
+        return frames.Beat(1, False, None, member not in self.needed)
+
+    def heard(self, kind):
+        return [mail for mail in self.told if isinstance(mail, kind)]
+
+    def words(self):
+        return [mail.frame for mail in self.heard(Framed) if not isinstance(mail.frame, frames.Beat)]
+
+    def up(self):
+        """Members by whose links as the module knows them."""
+        there = {}
+        for mail in self.told:
+            if isinstance(mail, LinkUp):
+                there[mail.member] = mail.link
+            elif isinstance(mail, LinkDown) and there.get(mail.member) is mail.link:
+                del there[mail.member]
+        return there
+
+    def reasons(self):
+        return self.links.reasons
+
+
+class Town:
+    """Members whose loops turn one at a time, in an order of the story's."""
+
+    def __init__(self, seed=1):
+        self.all, self.chance, self.clock = [], random.Random(seed), Clock()
+        self.step = STEP
+
+    def add(self, name, **more):
+        self.all.append(One(self.clock, name, **more))
+        return self.all[-1]
+
+    def see(self, cells, *who, members=None):
+        members = [one.member for one in self.all] if members is None else members
+        for one in who or self.all:
+            one.links.post(Viewed(View(members, cells), False))
+
+    def turn(self):
+        for one in self.chance.sample(self.all, self.chance.randint(1, len(self.all))):
+            one.loop.turn(0)
+        self.clock.time += self.step
+
+    def until(self, happened, within=8.0):
+        end = self.clock() + within
+        while self.clock() < end:
+            if result := happened():
+                return result
+            self.turn()
+        raise AssertionError("it has not happened")
+
+    def let_pass(self, seconds):
+        end = self.clock() + seconds
+        while self.clock() < end:
+            self.turn()
+
+    def close(self):
+        for one in self.all:
+            one.loop.close()
+            one.sock.close()
+            assert not one.defects
+
+
+@pytest.fixture
+def make_town():
+    made = []
+
+    def make(seed=1):
+        made.append(Town(seed))
+        return made[-1]
+
+    yield make
+    for town in made:
+        town.close()
+
+
+def of_cells(count, *cells):
+    """A name for each of these cells, in the order of the alphabet."""
+    names, at = [], 0
+    for cell in cells:
+        while View([], count).cell_of(f"n{at:03d}.00") != cell:
+            at += 1
+        names.append(f"n{at:03d}")
+        at += 1
+    return names
+
+
+@pytest.fixture
+def pair(make_town):
+    """Two members of different cells, each of which sees both."""
+    town = make_town()
+    for name in of_cells(2, 0, 1):
+        town.add(name)
+    town.see(2)
+    town.let_pass(0.02)
+    return town
+
+
+def connected(one, other):
+    """Both have a link to the other, and it is the same connection."""
+    mine, theirs = one.links.links.get(other.id), other.links.links.get(one.id)
+    if mine is None or theirs is None or mine.over or theirs.over:
+        return False
+    return mine.sock.getsockname() == theirs.sock.getpeername()
+
+
+def test_members_of_one_cell_are_linked_and_others_are_not(make_town):
+    town = make_town()
+    for name in of_cells(2, 0, 0, 0, 1, 1):
+        town.add(name)
+    town.see(2)
+    cells = [town.all[:3], town.all[3:]]
+    town.until(lambda: all(len(one.links.links) == len(cell) - 1 for cell in cells for one in cell))
+    town.let_pass(0.1)
+    for cell in cells:
+        for one in cell:
+            assert set(one.up()) == {other.id for other in cell} - {one.id}
+
+
+@pytest.mark.parametrize("who", [0, 1])
+def test_either_of_two_cells_can_reach_the_other(pair, who):
+    one, other = pair.all[who], pair.all[1 - who]
+    assert not one.links.links
+    one.links.post(Reach(other.id))
+    pair.until(lambda: other.id in one.up() and one.id in other.up())
+    assert connected(one, other)
+    one.links.post(Reach(other.id))
+    pair.let_pass(0.05)
+    assert len(one.heard(LinkUp)) == 1 and not one.heard(Unreached)
+
+
+def crossed(make_town, seed, within=8.0):
+    """Both call in one moment. What each was told, and whether the same one connection is left."""
+    town = make_town(seed)
+    for name in of_cells(2, 0, 1):
+        town.add(name)
+    one, other = town.all
+    one.needed.add(other.id), other.needed.add(one.id)
+    town.see(2)
+    town.let_pass(0.005)
+    one.links.post(Reach(other.id)), other.links.post(Reach(one.id))
+    try:
+        town.until(lambda: other.id in one.up() and one.id in other.up(), within)
+    except AssertionError:
+        return town, False
+    town.let_pass(0.06)
+    same = connected(one, other) and not (one.links.calls or other.links.calls)
+    return town, same and set(one.up()) == {other.id} and set(other.up()) == {one.id}
+
+
+def test_of_two_calls_that_cross_one_link_remains_the_same_for_both(make_town):
+    refused = 0
+    for seed in range(40):
+        town, same = crossed(make_town, seed)
+        assert same
+        for one in town.all:
+            assert len(one.heard(LinkUp)) == 1  # nobody was told of one that was not to be
+            assert not one.heard(LinkDown) and not one.heard(Unreached) and not one.heard(Strike)
+        refused += town.all[0].reasons()["crossed"]
+    assert refused > 10
+
+
+def test_without_that_rule_calls_that_cross_end_each_other(make_town, monkeypatch):
+    monkeypatch.setattr(Links, "_answerable", lambda self, member: None)
+    assert not all(crossed(make_town, seed, within=under_test.GREETING)[1] for seed in range(40))
+
+
+def test_a_link_that_neither_side_needs_rests_and_nothing_was_lost(pair):
+    one, other = pair.all
+    one.links.post(Reach(other.id))
+    pair.until(lambda: connected(one, other))
+    one.links.links[other.id].post(Say(framed(WORK)))
+    pair.until(lambda: other.words())
+    pair.until(lambda: not one.up() and not other.up())
+    for each in pair.all:
+        assert each.reasons()["at-rest"] == 1
+        assert not each.heard(Strike) and not any(event == "member.gone" for event, _ in each.lines)
+    pair.let_pass(0.1)
+    assert len(one.links.loop.watched) == len(other.links.loop.watched) == 1  # their listening sockets
+
+
+@pytest.mark.parametrize("who", [0, 1])
+def test_a_link_that_one_side_needs_stays(pair, who):
+    one, other = pair.all
+    pair.all[who].needed.add(pair.all[1 - who].id)
+    one.links.post(Reach(other.id))
+    pair.until(lambda: connected(one, other))
+    pair.let_pass(under_test.REST * 2)
+    assert connected(one, other) and len(one.heard(LinkUp)) == 1
+    pair.all[who].needed.clear()
+    pair.until(lambda: not one.up() and not other.up())
+
+
+def rested(make_town, seed):
+    """Work begins on the one side in the moment in which the other one ends the link."""
+    town = make_town(seed)
+    for name in of_cells(2, 0, 1):
+        town.add(name)
+    one, other = town.all
+    town.see(2)
+    town.let_pass(0.005)
+    one.links.post(Reach(other.id))
+    town.until(lambda: connected(one, other))
+    link = one.links.links[other.id]
+    theirs = other.links.links[one.id]
+    link.post(Say(framed(WORK)))
+    town.until(lambda: other.words() and all(theirs.idle))
+    while town.clock() < min(theirs.worked, link.worked) + under_test.REST - 0.1:
+        town.turn()
+    # The other side turns alone until it has said its last word.
+    while other.links.links:
+        other.loop.turn(0)
+        town.clock.time += STEP
+    assert not link.over
+    one.needed.add(other.id)
+    link.post(Say(framed(MORE)))
+    return town, one, other
+
+
+def test_work_that_begins_as_a_link_rests_opens_a_new_one_and_loses_nothing(make_town):
+    for seed in range(3):
+        town, one, other = rested(make_town, seed)
+        town.until(lambda one=one: one.heard(LinkDown))
+        assert one.reasons()["at-rest"] == 1 and other.words() == [WORK]
+        # What the cover does when a link has ended that it needs.
+        one.links.post(Reach(other.id))
+        town.until(lambda one=one, other=other: other.id in one.up())
+        one.up()[other.id].post(Say(framed(MORE)))
+        town.until(lambda other=other: other.words() == [WORK, MORE])
+        for each in town.all:
+            assert not each.heard(Strike) and not each.heard(Unreached)
+
+
+def test_links_to_former_peers_rest_and_new_peers_are_called(make_town):
+    town = make_town()
+    for name in of_cells(2, 0, 0, 1, 1):
+        town.add(name)
+    town.see(1)
+    town.until(lambda: all(len(one.up()) == 3 for one in town.all))
+    town.see(2)
+    town.until(lambda: all(len(one.up()) == 1 for one in town.all), within=30.0)
+    a, b, c, d = town.all
+    assert connected(a, b) and connected(c, d)
+    assert all(one.reasons()["at-rest"] == 2 for one in town.all)
+    town.see(1)
+    town.until(lambda: all(len(one.up()) == 3 for one in town.all))
+    assert not any(one.heard(Strike) for one in town.all)
+
+
+def test_who_sees_other_cells_is_refused_and_calls_again(make_town):
+    town = make_town()
+    for name in of_cells(4, 0, 0):
+        town.add(name)
+    one, other = town.all
+    town.see(4, one)
+    town.see(2, other)
+    town.until(lambda: one.reasons()["other-cells"] and other.reasons()["other-cells"])
+    town.let_pass(0.2)
+    assert not one.heard(LinkUp) and not other.heard(LinkUp) and not one.heard(Framed)
+    town.see(4, other)
+    town.until(lambda: connected(one, other))
+
+
+def test_whom_no_link_reaches_in_time_is_told_of_as_such(pair):
+    one, other = pair.all
+    pair.see(4, other)
+    one.links.post(Reach(other.id))
+    pair.until(lambda: one.heard(Unreached))
+    assert not one.links.wanted and not one.links.calling
+    pair.let_pass(0.1)
+    assert not one.links.calls
+    one.links.post(Reach("nobody.00"))
+    pair.until(lambda: len(one.heard(Unreached)) == 2)
+
+
+def test_a_process_that_has_ended_is_told_of_at_once(pair):
+    one, other = pair.all
+    other.links.loop.forget(other.sock.fileno())
+    other.sock.close()
+    pair.all.remove(other)
+    one.links.post(Reach(other.id))
+    pair.until(lambda: one.heard(Unreached), within=under_test.GREETING / 2)
+    other.loop.close()
+
+
+def test_a_call_of_who_has_lost_the_link_alone_shows_that_and_gets_one(pair):
+    one, other = pair.all
+    one.needed.add(other.id), other.needed.add(one.id)
+    one.links.post(Reach(other.id))
+    pair.until(lambda: connected(one, other))
+    # The greater one's side ends; the smaller one is not told, as where the network drops it.
+    there = other.links.links[one.id]
+    silent = socket.socket(fileno=socket.dup(there.sock.fileno()))
+    there.post(under_test.CLOSE)
+    pair.until(lambda: other.heard(LinkDown))
+    assert connected(one, other) is False and other.id in one.up()
+    other.links.post(Reach(one.id))
+    pair.until(lambda: one.reasons()["crossed"])
+    silent.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    silent.close()
+    pair.until(lambda: connected(one, other))
+    assert not other.heard(Unreached)
+
+
+@pytest.mark.parametrize(
+    ("changed", "reason"),
+    [
+        ({"version": frames.VERSION + 1}, "other-version"),
+        ({"version": frames.VERSION - 1}, "other-version"),
+        ({"fleet": "g"}, "other-fleet"),
+        ({"cells": 4}, "other-cells"),
+        ({"member": "stranger.00"}, "stranger"),
+    ],
+)
+def test_who_greets_wrongly_is_refused_and_nothing_it_says_is_acted_on(pair, changed, reason):
+    one, other = pair.all
+    hello = msgspec.structs.replace(frames.Hello("f", frames.VERSION, other.id, 2), **changed)
+    with socket.create_connection(one.sock.getsockname()) as caller:
+        caller.sendall(framed(hello) + framed(WORK) + framed(frames.Beat(1, False)))
+        pair.until(lambda: one.reasons()[reason])
+        assert not one.told
+
+
+def test_who_answers_under_another_name_is_refused(make_town):
+    town = make_town()
+    one_name, other_name = of_cells(1, 0, 0)
+    one = town.add(one_name)
+    other = town.add(other_name, hello=frames.Hello("f", frames.VERSION, "other.00"))
+    town.see(1)
+    town.until(lambda: one.reasons()["not-who-was-called"])
+    assert not one.heard(LinkUp) and not one.heard(Framed)
+    assert not other.up()
+
+
+def test_half_a_frame_ends_a_link_without_anything_acted_on(pair):
+    one, other = pair.all
+    hello = framed(frames.Hello("f", frames.VERSION, other.id, 2))
+    with socket.create_connection(one.sock.getsockname()) as caller:
+        caller.sendall(hello + framed(WORK)[:-1])
+        pair.until(lambda: one.up())
+        pair.let_pass(0.05)
+        assert not one.words()
+    pair.until(lambda: not one.up())
+    assert not one.words()
+    with socket.create_connection(one.sock.getsockname()) as caller:
+        caller.sendall(hello[:-1])
+        pair.until(lambda: one.reasons()["no-greeting"])
+    assert len(one.heard(LinkUp)) == 1
+
+
+def test_at_rest_a_beat_is_answered_at_once_so_that_one_of_two_sides_waits(make_town):
+    town = make_town()
+    for name in of_cells(1, 0, 0):
+        town.add(name)
+    town.see(1)
+    one, other = town.all
+    town.until(lambda: connected(one, other))
+    town.let_pass(under_test.STAKE + 0.5)
+    counts = Counter({each.id: len(each.heard(Framed)) for each in town.all})
+    town.let_pass(3 * under_test.IDLE[0])
+    for each in town.all:
+        assert 2 <= len(each.heard(Framed)) - counts[each.id] <= 4
+
+
+@pytest.mark.parametrize(("count", "silent"), [(25, 14.4), (41, 24.0)])
+def test_a_cell_at_rest_says_a_few_words_a_second_whatever_its_size(make_town, count, silent):
+    town = make_town()
+    for number in range(count):
+        town.add(f"n{number:03d}")
+    town.see(1)
+    town.until(lambda: all(len(one.links.links) == count - 1 for one in town.all))
+    town.step = 0.02
+    town.let_pass(20.0)
+    before = [len(one.heard(Framed)) for one in town.all]
+    town.let_pass(40.0)
+    for one, heard in zip(town.all, before, strict=True):
+        assert len(one.heard(Framed)) - heard <= 1.1 * 40.0 * under_test.A_SECOND
+        assert len(one.links.links) == count - 1 and not one.heard(LinkDown)
+    # One that hangs is noticed by all in three times the pause between beats, as the page says.
+    hung = town.all.pop()
+    town.let_pass(silent - under_test.IDLE[1])
+    at = town.clock()
+    town.until(lambda: all(hung.id not in one.up() for one in town.all), within=60.0)
+    assert town.clock() - at < under_test.IDLE[1] + 1.0
+    town.all.append(hung)
+
+
+# Which policy holds, while the arbiter is gone and each has links with its own cell only.
+
+LEASE = 1.0
+
+
+class Quiet:
+    """The door of `Following` where nothing is ever decided."""
+
+    def __init__(self, notes=None):
+        self.notes = [] if notes is None else notes
+
+    def check(self, body):
+        return ""
+
+    def keep(self, kept):
+        pass
+
+    def kept(self):
+        return ""
+
+    def rule(self, policy):
+        pass
+
+    def ask(self, member):
+        pass
+
+    def note(self, event, **fields):
+        self.notes.append((event, fields))
+
+
+class Ruled(One):
+    """A member that follows a policy, as its host has it: words over links, and for those who ask."""
+
+    def __init__(self, clock, name, hello=None):
+        super().__init__(clock, name, hello)
+        self.notes = []
+        now = self.loop.now()
+        self.following = Following(self.id, name, LEASE, Quiet(self.notes), now, Kept("f"))
+        self.links.says = self.says
+        self.links.tell = self.tell
+        self.asker = Asker(self.links, self.following, self.links, random.Random(name), LEASE)
+        self.asker.begin()
+        self.asks = 0
+
+    def beat(self, member, worded):
+        self.following.now = self.loop.now()
+        self.following.doubt()
+        lapsed = self.following.uneasy
+        return frames.Beat(1, lapsed, self.following.word() if worded or lapsed else None, True)
+
+    def says(self, asked):
+        self.asks += 1
+        self.following.now = self.loop.now()
+        others = self.following.lately(self.links.links, frames.RELAYED)
+        says = [frames.Says(self.following.word(), others)]
+        if self.following.known > asked.known:
+            says.append(frames.Given(msgspec.json.encode(self.following.decision)))
+        return says
+
+    def tell(self, mail):
+        self.following.now = self.loop.now()
+        if isinstance(mail, Framed) and isinstance(mail.frame, frames.Says):
+            for word in (mail.frame.word, *mail.frame.others):
+                self.following.heard(word)
+        elif isinstance(mail, Framed) and isinstance(mail.frame, frames.Given):
+            self.following.told(msgspec.json.decode(mail.frame.decision, type=Decision))
+        elif isinstance(mail, Framed) and getattr(mail.frame, "word", None):
+            self.following.heard(mail.frame.word)
+
+    def doubt(self):
+        self.following.now = self.loop.now()
+        return self.following.doubt()
+
+
+class Realm(Town):
+    """Members of several cells, all of which the arbiter has named; from then on it is gone."""
+
+    def __init__(self, seed, count, cells):
+        super().__init__(seed)
+        for number in range(count):
+            self.all.append(Ruled(self.clock, f"n{number:03d}"))
+        records = Records()
+        records.revision = 1
+        records.members = {one.id: one.member for one in self.all}
+        records.names = {one.member.name: 1 for one in self.all}
+        for one in self.all:
+            one.following.now = one.loop.now()
+            one.following.recorded(records.copy(), True)
+            one.following.renewed(one.loop.now() + LEASE, 1)
+            assert not one.doubt()
+        self.see(cells)
+
+    def doubted(self, *who):
+        return [one.id for one in who or self.all if any(n == "policy.doubt" for n, _ in one.notes)]
+
+
+@pytest.fixture
+def make_realm(make_town):
+    made = []
+
+    def make(seed, count, cells):
+        made.append(Realm(seed, count, cells))
+        return made[-1]
+
+    yield make
+    for realm in made:
+        realm.close()
+
+
+def test_without_the_arbiter_nobody_doubts_though_each_hears_its_own_cell_only(make_realm):
+    realm = make_realm(1, 24, 8)
+    realm.let_pass(6 * LEASE)
+    assert not realm.doubted()
+    assert max(len(one.links.links) for one in realm.all) < 12
+
+
+def lost_half(realm):
+    """More than half hang. Whether each of the others comes to doubt, and stays in it."""
+    realm.let_pass(2 * LEASE)
+    realm.chance.shuffle(realm.all)
+    hung, realm.all = realm.all[:13], realm.all[13:]
+    until, doubts = realm.clock() + 2 * LEASE, set()
+    while len(doubts) < len(realm.all) and realm.clock() < until:
+        realm.turn()
+        doubts |= {one.id for one in realm.all if one.doubt()}
+    all_doubt = len(doubts) == len(realm.all)
+    realm.let_pass(LEASE)
+    all_doubt = all_doubt and all(one.doubt() == "alone" for one in realm.all)
+    realm.all += hung
+    return all_doubt
+
+
+def test_with_more_than_half_gone_all_others_doubt_however_words_are_passed_on(make_realm):
+    assert lost_half(make_realm(2, 24, 8))
+
+
+def test_words_that_were_made_younger_on_their_way_would_show(make_realm, monkeypatch):
+    lately = Following.lately
+
+    def younger(self, members, most):
+        known = {**self.words}
+        self.words = {m: msgspec.structs.replace(w, at=self.now) for m, w in known.items()}
+        passed = lately(self, self.words, most)
+        self.words = known
+        return passed
+
+    monkeypatch.setattr(Following, "lately", younger)
+    assert not lost_half(make_realm(2, 24, 8))
+
+
+def test_a_member_that_alone_is_cut_off_from_the_arbiter_hears_all_the_same(make_realm):
+    realm = make_realm(3, 24, 8)
+    cut = realm.all[0]
+    for _ in range(8):
+        for one in realm.all[1:]:
+            one.following.renewed(one.loop.now() + LEASE, 1)
+        realm.let_pass(LEASE / 2)
+    assert not realm.doubted() and cut.following.uneasy
+    assert all(not one.following.uneasy for one in realm.all[1:])
+
+
+def test_what_a_single_member_knows_to_be_decided_all_come_to_know(make_realm):
+    realm = make_realm(4, 24, 8)
+    realm.let_pass(1.5 * LEASE)
+    body = {"settings": {}}
+    policy = Policy(1, common.digest(body), body)
+    realm.all[5].following.told(Decision(policy, realm.clock() + 60.0, 7, Policy()))
+    unlinked = [one for one in realm.all if realm.all[5].id not in one.links.links]
+    assert len(unlinked) > 12
+    realm.until(lambda: all(one.following.known == 1 for one in unlinked), within=1.25 * LEASE)
+
+
+def test_a_word_counts_by_its_own_age_whoever_passes_it_on():
+    members = {f"n{i}.00": Member(f"n{i}.00", f"n{i}", "") for i in range(3)}
+    records = Records()
+    records.revision, records.members = 1, members
+    records.names = dict.fromkeys(("n0", "n1", "n2"), 1)
+    one, other = (Following(f"n{i}.00", f"n{i}", LEASE, Quiet(), 0.0, Kept("f")) for i in range(2))
+    for each in (one, other):
+        each.recorded(records, True)
+    third = Word("n2.00", "n2", 10.0, 0, "", 1e9, 0, 0, True)
+    other.now = 10.4
+    other.heard(third)
+    one.now = 10.8
+    for word in other.lately(members, 8):
+        one.heard(word)
+    assert not one.doubt()
+    one.now = 10.0 + LEASE
+    assert one.doubt() == "alone"
+    other.now = one.now
+    assert other.lately(members, 8) == []
+
+
+# What the arbiter tells of members and cells.
+
+
+def onlooker(told):
+    loop = Loop(lambda actor, error: None)
+    one = client.Onlooker(
+        loop, ["127.0.0.1:1"], LEASE, None, lambda *a, **k: None, None, "f", tell=told.append
+    )
+    one.revision = 1
+    return one
+
+
+def event(key, value, revision, type_="PUT"):
+    pair = client.Pair(client.b64(f"/f/{key}"), client.b64(msgspec.json.encode(value)))
+    pair.create_revision = pair.mod_revision = str(revision)
+    return client.Event(pair, type_)
+
+
+def test_views_come_in_the_order_of_changes_of_members_and_of_cells():
+    told = []
+    one = onlooker(told)
+    a, b, c = (Member(f"n{i}.00", f"n{i}", "") for i in range(3))
+    one._seen(
+        client.Seen(
+            events=[
+                event("members/n0.00", a, 2),
+                event("cells", {"count": 2}, 3),
+                event("members/n1.00", b, 4),
+                event("zones/said/n1.00", {"at": 1.0, "zones": {}}, 4),
+                # One transaction: a member and the cells in one revision are one change.
+                event("members/n2.00", c, 5),
+                event("cells", {"count": 4}, 5),
+                event("cells", None, 6, "DELETE"),
+            ]
+        )
+    )
+    views = [(len(m.view.members), m.view.cells) for m in told if isinstance(m, Viewed)]
+    assert views == [(1, 1), (1, 2), (2, 2), (3, 4), (3, 1)]
+    assert len({m.view.digest for m in told if isinstance(m, Viewed)}) == 5
+    one.loop.close()
+
+
+@pytest.mark.parametrize("value", [None, 3, {}, {"count": 3}, {"count": 0}, {"count": 1 << 20}])
+def test_cells_that_nobody_can_read_leave_those_that_were(value):
+    told = []
+    one = onlooker(told)
+    member = Member("n0.00", "n0", "")
+    one._seen(client.Seen(events=[event("members/n0.00", member, 2), event("cells", {"count": 4}, 3)]))
+    one._seen(client.Seen(events=[event("cells", value, 4)]))
+    views = [m.view.cells for m in told if isinstance(m, Viewed)]
+    assert views[-1] == 4
+    one.loop.close()
