--- a/trials/hard.py
+++ b/trials/hard.py
@@ -137,4 +137,32 @@
         return verdict
 
 
-CASES = {"half": half, "bodies": bodies, "keeper": keeper, "woken": woken, "stopped": stopped, "cut": cut}
+async def gone(
+    seed: int, sidecars: int = 8, root: Path = ROOT, fleet: bool = True, cell_size: int = 3
+) -> Verdict:
+    """The arbiter is gone for many leases: each goes on by the words of more than half, of all cells."""
+    async with Rig(seed, sidecars, root=root, fleet=fleet, lease=1, cell_size=cell_size) as rig:
+        sending = asyncio.create_task(rig.clients.send(80.0, 10.0, MIX))
+        await asyncio.sleep(1.0)
+        await rig.arbiter.down()
+        await asyncio.sleep(8.0)
+        told = [(await s.told("GET", "/_fleet"))[1] for s in rig.sidecars]
+        verdict = await rig.judged(sending)
+        doubts = sum(line["reason"] == "alone" for s in rig.sidecars for line in s.logged("policy.doubt"))
+        uncovered = sum(len(s.logged("cover.none", "cover.given_up")) for s in rig.sidecars)
+        verdict.counts |= {"doubts": doubts, "uncovered or given up": uncovered}
+        verdict.counts["with a lease still"] = sum(t["lease_s"] > 0 for t in told)
+        if doubts or uncovered:
+            verdict.broken.append("the arbiter's loss was seen")
+        return verdict
+
+
+CASES = {
+    "half": half,
+    "bodies": bodies,
+    "keeper": keeper,
+    "woken": woken,
+    "stopped": stopped,
+    "cut": cut,
+    "gone": gone,
+}
