--- a/starlingwheel/fleet/cover.py
+++ b/starlingwheel/fleet/cover.py
@@ -960,6 +960,7 @@
 
     def _merge(self, item: Item, told: Cover) -> None:
         """The history as both know it: an intent recorded anywhere counts."""
+        other = item.owner != told.owner and item.epoch == told.epoch
         if item.owner != told.owner:
             item.at_home, item.granted = "", False
         item.granted = self.view.cells > 1 and (item.granted or told.granted)
@@ -970,8 +971,9 @@
         for number, intent in enumerate(item.intents):
             if number >= len(both):
                 both.append(intent)
-            elif intent.fate and not both[number].fate:
-                both[number].fate = intent.fate
+            elif not other and (intent.upstream, intent.at) == (both[number].upstream, both[number].at):
+                # Guards against the fate of another owner's hand-off, of two that asked at once.
+                both[number].fate = both[number].fate or intent.fate
         item.intents = both
 
     def _say_kept(self, member: str, told: Cover, verdict: str, reply: Reply | None = None) -> None:
