--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -17,6 +17,7 @@
 from standins.loopback import free_address
 from starlingwheel.fleet import frames
 from starlingwheel.fleet.part import decode
+from starlingwheel.fleet.policy import Word
 from starlingwheel.fleet.view import Member, View
 from starlingwheel.net.fleet import arbiter as client
 from starlingwheel.net.fleet.links import Reader, Refused, framed
@@ -41,6 +42,7 @@
 def test_all_that_is_wrong_with_a_part_is_told_at_once_with_its_keys():
     wrong = {
         "name": "a b", "listen": "nowhere", "arbiter": ["x", "127.0.0.1:99999"], "lease_s": 0.5, "spare": 1,
+        "cell_size": -1,
         "cover": {"categories": ["buy", "sell"], "name_header": "X_Y", "keepers": 9, "keeper": 2},
     }  # fmt: skip
     with pytest.raises(ValueError) as caught:
@@ -48,8 +50,8 @@
     told = str(caught.value)
     for key in (
         "fleet.name:", "fleet.listen:", "fleet.arbiter[0]:", "fleet.arbiter[1]:", "fleet.lease_s:",
-        "fleet.spare:", "fleet.cover.categories[1]:", "fleet.cover.name_header:", "fleet.cover.keepers:",
-        "fleet.cover.keeper:", "streamsPerConn",
+        "fleet.spare:", "fleet.cell_size:", "fleet.cover.categories[1]:", "fleet.cover.name_header:",
+        "fleet.cover.keepers:", "fleet.cover.keeper:", "streamsPerConn",
     ):  # fmt: skip
         assert key in told, key
 
@@ -60,6 +62,10 @@
         decode(wrong, NAMES, 1)
 
 
+def a_word():
+    return Word("n1.ab", "n1", 3.5, 4, "0a", float("inf"), 4, 5, True)
+
+
 def some_frames():
     asked = frames.Asked(b"POST", b"/buy/1", [(b"a", b"b")], b"x" * 30, b"t")
     intent = frames.Intent("u1", "north", 3, 12.5)
@@ -69,6 +75,9 @@
         frames.Intend(b"k", 0, 1, intent),
         frames.Kept(b"k", 0, frames.NEW, 1, frames.Reply(200, 0.0, b"", b"y" * 10)),
         frames.Beat(7, False),
+        frames.Beat(7, True, a_word(), True, True),
+        frames.Says(a_word(), [a_word(), a_word()]),
+        frames.Rest(),
     ]
 
 
@@ -348,6 +357,8 @@
     answer, body = around.answer(caller)
     told = json.loads(body)
     assert answer.status_code == 200 and told["in_view"] and told["member"] == around.node.fleet.me
+    cells = {"count": 1, "ours": 0, "members": [told["member"]], "fleet_members": 1}
+    assert told["cells"] == cells and [one["id"] for one in told["view"]] == cells["members"]
     assert (
         told["items"] == {"done": 1} and told["counts"]["covered"] == 1 and told["counts"]["uncovered"] == 1
     )
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -1,7 +1,4 @@
-"""python -m trials NAME --seed N: play a trial; exit code 0: all promises kept, 1: one was broken.
-
-python -m trials scale --help: the scale run.
-"""
+"""python -m trials NAME --seed N: play a trial; exit code 0: all promises kept, 1: one was broken."""
 
 from __future__ import annotations
 
@@ -12,8 +9,9 @@
 import sys
 from pathlib import Path
 
-from . import added, call_tree, capacity, cost, hard, loss, outage, parts, policy, storm, zones
+from . import added, call_tree, capacity, cost, hard, loss, outage, parts, policy, rest, storm, zones
 from .rig import ROOT
+from .scale.__main__ import main as scale
 
 TRIALS = {
     "loss": loss.play,
@@ -22,23 +20,20 @@
     "cost": cost.play,
     "added": added.play,
     **outage.CASES,
+    "rest": rest.play,
     "policy": policy.changes,
     **hard.CASES,
     **policy.CASES,
     **zones.TRIALS_OF_ZONES,
 }
 # Trials with a command line of their own.
-OWN = {"call-tree": call_tree.main, "capacity": capacity.main, "parts": parts.main}
+OWN = {"call-tree": call_tree.main, "capacity": capacity.main, "parts": parts.main, "scale": scale}
 
 
 def main() -> int:
-    if sys.argv[1:2] == ["scale"]:
-        from .scale.__main__ import main as scale  # has a command line of its own
-
-        return scale(sys.argv[2:])
     if sys.argv[1:] and sys.argv[1] in OWN:
         return OWN[sys.argv[1]](sys.argv[2:])
-    own = f"With a command line of their own: scale, {', '.join(OWN)}."
+    own = f"With a command line of their own: {', '.join(OWN)}."
     parser = argparse.ArgumentParser(prog="python -m trials", description=__doc__, epilog=own)
     parser.add_argument("trial", choices=TRIALS)
     parser.add_argument("--seed", type=int, default=1, help="names the timetable of faults (default: 1)")
