--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -71,6 +71,15 @@
     assert told[2].split(" | ")[3:6] == ["175", "250", "480"] and "400 (-17%)" in told[2]
 
 
+def test_a_word_among_many_costs_what_the_scale_run_measured_of_its_restarts():
+    told = [
+        {"phase": "restart", "role": "alone", "core": 0.02, "messages_out": rate} for rate in (200, 400, 500)
+    ]
+    other = {"phase": "rest", "role": "alone", "core": 0.5, "messages_out": 1}
+    assert capacity.burst([*told, other]) == pytest.approx(50)
+    assert 50 < capacity.burst([other]) < 500
+
+
 def test_what_is_missing_is_ordered_by_its_overrun():
     told = [Row("", str(n), "", value, "B/s", 10.0, "", "") for n, value in enumerate((5.0, 20.0, 90.0))]
     told.append(Row("", "none", "", 1e9, "B/s", float("nan"), "", ""))
--- a/trials/capacity.py
+++ b/trials/capacity.py
@@ -42,6 +42,7 @@
 MICRO = ROOT / "journal" / "capacity" / "micro.jsonl"
 TREE = ROOT / "journal" / "capacity" / "call-tree.jsonl"
 SCALE = ROOT / "journal" / "scale"
+BURST = "word to a member, of many"
 MARKS = {
     name: (f"<!-- {name}: tables by `python -m trials capacity --write` -->", f"<!-- {name}: end -->")
     for name in ("capacity", "call-tree")
@@ -470,7 +471,7 @@
     peers = per_cell - 1
     beat, told = at("frame beat"), at("frame told")
     quick = (links.STAKE + links.SILENCE * links.BEAT) / links.BEAT  # words on a link after one about work
-    word_core = line((m, core) for m, _, _, core, _, _ in REST)[1]  # per cent of a core for one a second
+    word_core = at(BURST) / 1e4  # per cent of a core for one a second
     mesh = "cells" if cells > 1 else "a limit of words a second, none of sockets"
     home_kind = figures.kind("home", per_cell)
     rest_none, rest_slope, _ = line((m, sent + HEADERS * segments) for m, sent, segments, *_ in REST)
@@ -752,7 +753,23 @@
         ),
     )  # fmt: skip
     alone = [(n, points[0]) for n, points in figures.points.items() if list(points) == [0]]
-    yield "\nBytes: " + ", ".join(f"{name} {value:.0f}" for name, value in alone) + "."
+    told = (f"{name} {value:.0f} {'B' if figures.is_bytes[name] else 'us'}" for name, value in alone)
+    yield "\n" + ", ".join(told) + "."
+
+
+def burst(lines: list[dict[str, Any]]) -> float:
+    """Microseconds of processor time of a word said and one heard, of many: by the scale run's restarts.
+
+    Without such lines: by the line through the fleet at rest, where each wakes its process alone.
+    """
+    some = sorted(
+        1e6 * one["core"] / one["messages_out"]
+        for one in lines
+        if one.get("phase") == "restart" and one.get("role") == "alone" and one.get("messages_out")
+    )
+    if some:
+        return some[len(some) // 2]
+    return 1e4 * line((m, core) for m, _, _, core, _, _ in REST)[1]
 
 
 SCALED = {
@@ -875,7 +892,8 @@
         for path in sorted(told.scale.glob("*.jsonl"))
         for one in read_lines(path)
     ]
-    text = "\n".join(report(Size(sidecars=told.sidecars), Figures(lines), told.cells, scale))
+    figures = Figures([*lines, {"figure": BURST, "size": 0, "us": round(burst(scale), 1)}])
+    text = "\n".join(report(Size(sidecars=told.sidecars), figures, told.cells, scale))
     if told.write is None:
         print(text)
         return 0
