--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -230,12 +230,14 @@
 
 def test_what_waits_for_answers_to_questions_does_not_all_go_to_the_cold_one_that_answered(make_host):
     """It is asked for all while there is room for some; that is looked at again once it has answered."""
-    host = make_host(upstreams=1, asking_allowed=True, asking_price=0.001, cold_share=0.1, fall_multiple=1.0)
+    terms = SOON | {"cold_share": 0.1, "cold_for": 80.0, "fall_multiple": 1.0}
+    host = make_host(upstreams=1, asking_allowed=True, asking_price=0.001, **terms)
     host.later(START)
     host.listed(News.CHANGES, "u0", started=START)
+    host.later(3.0)
     waiting = [host.take() for _ in range(12)]
     assert len(host.probes) == len(waiting) and not host.sent
     for asked in host.probes:
         host.runner.probed(asked.address, Fate.FINISHED, 0.01, {"held": 0.0})
-    could_do = 0.1 * 1.0 * 2.0 / 0.125
-    assert 0 < len(host.sent) <= could_do
+    allowed = 1.0 * (0.1 + 0.9 * 3.0 / 80.0) * 2.0 / 0.125
+    assert 0 < len(host.sent) <= allowed
