--- a/trials/scale/limits.py
+++ b/trials/scale/limits.py
@@ -13,6 +13,7 @@
 MOST = 4000  # entries that the program's client of the arbiter believes
 PROCESSES = 300
 DESCRIPTORS = 20_000  # a process, at most
+SPARE = 3 / 4  # of them are planned for: where links are called again each takes more for a while
 BESIDE = 64  # descriptors of a process that are no member's
 EACH = 10  # of a member, beside its links: arbiter, listening, knocks
 MEMORY = 1 / 2  # of the machine's
@@ -50,7 +51,7 @@
     # A cell is halved or doubled with hysteresis: it may come to twice its mean, and names spread unevenly.
     links = size if not cell_size else min(size, 4 * cell_size)
     needs = links + EACH
-    a_process = (descriptors - BESIDE) // needs
+    a_process = int(SPARE * (descriptors - BESIDE)) // needs
     if a_process < 1:
         return None, f"size {size}: {needs + BESIDE} descriptors are needed a process, {descriptors} allowed"
     if EACH * size + BESIDE > descriptors:
--- a/trials/scale/worker.py
+++ b/trials/scale/worker.py
@@ -22,6 +22,7 @@
 from .member import LOOKED, Member
 from .metered import MeteredLoop
 
+DEFECTS = 20  # whose traces are kept
 POOL = 64  # buffers; a hollow member has no bodies
 
 
@@ -35,7 +36,8 @@
         self.counts, self.frames, self.reasons = Counter[str](), Counter[str](), Counter[str]()
 
     def _defect(self, actor: Actor, error: Exception) -> None:
-        self.defects.append("".join(traceback.format_exception(error))[-600:])
+        if len(self.defects) < DEFECTS:
+            self.defects.append("".join(traceback.format_exception(error))[-600:])
 
     def _named(self, given: dict[str, Any]) -> list[Member]:
         names = given.get("members")
@@ -99,6 +101,7 @@
             "members": len(there),
             "ready": sum(m.ready for m in there),
             "sizes": Counter(str(len(module.covering.view.members)) for module in modules),
+            "cells": sorted({getattr(module.covering.view, "cells", 1) for module in modules}),
             "views": Counter(str(module.covering.view.digest) for module in modules),
             "links": sum(len(m.fleet.links.links) for m in there if m.fleet is not None),
             "changes": sum(m.counts["log.link.up"] + m.counts["log.link.down"] for m in modules),
