--- a/trials/scale/__main__.py
+++ b/trials/scale/__main__.py
@@ -89,7 +89,7 @@
     try:
         await run.begin()
         await run.play()
-    except (Stuck, RuntimeError, TimeoutError) as error:
+    except (Stuck, RuntimeError, TimeoutError, OSError) as error:
         why = f"{type(error).__name__}: {error}"[:400]
         out({"size": plan.size, "seed": given.seed, "cell_size": given.cell_size, "ended": why})
         return False
