Beats go beside words about work where a lapsed lease is made up by them

While wary a link beats by the time of its last beat.

tests/test_fleet_links.py: 38 passed; its new story fails without the change.

--- a/starlingwheel/net/fleet/links.py
+++ b/starlingwheel/net/fleet/links.py
@@ -382,7 +382,7 @@
         self.early: list[Frame] = []  # what came with the greeting
         self.unsent = bytearray()
         self.mask = 0
-        self.heard = self.said = 0.0
+        self.heard = self.said = self.beaten = 0.0
         self.quick_since, self.quick_until = 0.0, -inf  # something is at stake
         self.wary_until = -inf  # one of us may need the other's word
         self.worked = -inf  # when a word about work came or went last
@@ -509,16 +509,19 @@
             beat = msgspec.structs.replace(beat, asks=True)
         if beat.lapsed:
             self.wary_until = now + STAKE
-        self.idle[0] = beat.idle
+        self.idle[0], self.beaten = beat.idle, now
         self._send(framed(beat))
 
     def _beat_at(self, now: float) -> float:
         # The other side may think of it as at stake for a moment longer: we go on beating for that.
         if now < self.quick_until + SILENCE * BEAT and not self._resting:
-            return self.said + BEAT
+            at = self.said + BEAT
+        else:
+            at = self.said + self.links.idle()
         if now < self.wary_until:
-            return self.said + self.links.each(BEAT, WARY_EACH)
-        return self.said + self.links.idle()
+            # Guards against words about work taking the place of those that a lapsed lease is made up by.
+            at = min(at, self.beaten + self.links.each(BEAT, WARY_EACH))
+        return at
 
     @property
     def _resting(self) -> bool:
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -14,7 +14,7 @@
 from starlingwheel.net.fleet import arbiter as client
 from starlingwheel.net.fleet import links as under_test
 from starlingwheel.net.fleet.links import Links, framed
-from starlingwheel.net.fleet.mail import Framed, LinkDown, LinkUp, Reach, Say, Strike, Unreached, Viewed
+from starlingwheel.net.fleet.mail import WARY, Framed, LinkDown, LinkUp, Reach, Say, Strike, Unreached, Viewed
 from starlingwheel.net.fleet.policy import Asker
 from starlingwheel.net.loop import Loop
 
@@ -440,6 +440,22 @@
     town.all.append(hung)
 
 
+def test_words_about_work_do_not_take_the_place_of_beats_where_these_are_needed(make_town):
+    town = make_town()
+    for name in of_cells(1, 0, 0):
+        town.add(name)
+    town.see(1)
+    one, other = town.all
+    town.until(lambda: connected(one, other))
+    link, latest = one.links.links[other.id], []
+    for _ in range(40):
+        link.post(WARY)
+        link.post(Say(framed(WORK)))
+        town.let_pass(under_test.BEAT / 2)
+        latest.append(len(other.heard(Framed)) - len(other.words()))
+    assert latest[-1] >= 40 // 2 - 2
+
+
 # Which policy holds, while the arbiter is gone and each has links with its own cell only.
 
 LEASE = 1.0
