--- a/trials/call_tree.py
+++ b/trials/call_tree.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from typing import Any
 
-from starlingwheel.decisions.rules import Balancer, Upstream
+from starlingwheel.decisions.rules import Balancer
 from starlingwheel.decisions.runner import Runner
 from starlingwheel.decisions.terms import (
     Category,
@@ -50,7 +50,6 @@
 
     `budget`: second sends that a sidecar may make for each first send; None: as the program is, no bound.
     `tells`: an application that has been left leaves its own call too. `hands_down`: it tells the time left.
-    `regains`: what-if: work that finds nobody counts for the part of trials, as a hand-off does.
     `passes_on`: what-if: an application whose own call was deferred turns its caller's away, as never run.
     `reports`: each answer says how many its server holds, and how busy it is.
     """
@@ -69,7 +68,6 @@
     most_hand_offs: int = 3
     copies: bool = True
     budget: float | None = None
-    regains: bool = False
     passes_on: bool = False
     tells: bool = True
     hands_down: bool = True
@@ -119,22 +117,12 @@
 
 
 class WhatIf(Balancer):
-    """The program's rules, and what they would give with less or more; nothing of it is in the program."""
+    """The program's rules, and a second send only while the budget allows one: not in the program."""
 
-    budget: Budget | None = None
-    regains = False
+    budget: Budget
 
     def _may_send(self, wi: WorkItem, handed: list[HandOff]) -> bool:
-        if self.budget is not None and self.budget.left < 1:
-            return False
-        return super()._may_send(wi, handed)
-
-    def _draw(self, *given: Any, **more: Any) -> Upstream | None:
-        drawn = super()._draw(*given, **more)
-        if drawn is None and self.regains:
-            # Guards against a sidecar whose upstreams are all set aside trying none of them ever again.
-            self.trials = min(1.0, self.trials + self.trial)
-        return drawn
+        return self.budget.left >= 1 and super()._may_send(wi, handed)
 
 
 @dataclass(frozen=True)
@@ -189,9 +177,9 @@
         chance = random.Random(f"{plan.seed} {number} {servers[0].name}")
         self.runner = Runner(terms, chance, self, tree.now)
         self.budget = Budget(plan.budget) if plan.budget is not None else None
-        if self.budget is not None or plan.regains:
+        if self.budget is not None:
             what_if = self.runner.balancer = WhatIf(terms, chance, tree.now)
-            what_if.budget, what_if.regains = self.budget, plan.regains
+            what_if.budget = self.budget
         self.asked: dict[WorkItem, Asked] = {}
         listings = [Listing(s.name, "here", 0, 1.0, None, Condition.READY) for s in servers]
         self.runner.listed(News.WHOLE, listings)
@@ -541,7 +529,8 @@
         scene = one["scene"] + (f" {one['part']:.0%}" if one["part"] < 1 else "")
         scene += f", {one['services']} service{'s' * (one['services'] > 1)} a level, {one['depth']} deep"
         what_if = [f"a budget of {one['budget']:.0%}"] if one["budget"] is not None else []
-        what_if += ["who finds nobody may try sooner"] if one["regains"] else []
+        if "regains" in one:  # a line from before work that finds nobody earned its part of a trial
+            what_if += ["with the mend, as a what-if"] if one["regains"] else ["before the mend"]
         what_if += ["a deferral below is one above"] if one.get("passes_on") else []
         what_if += ["no load reports"] if not one["reports"] else []
         what_if += [f"{one['effect']} work"] if one["effect"] != Plan.effect else []
@@ -584,7 +573,6 @@
         parser.add_argument(f"--{name}", type=float, default=default, help=f"(default: {default})")
     parser.add_argument("--no-copies", dest="copies", action="store_false", help="copies are not allowed")
     parser.add_argument("--not-told", dest="tells", action="store_false", help="who is left goes on calling")
-    parser.add_argument("--regains", action="store_true", help="what-if: who finds nobody may try sooner")
     parser.add_argument("--passes-on", action="store_true", help="what-if: a deferral below is one above")
     parser.add_argument("--no-reports", dest="reports", action="store_false", help="answers tell no load")
     parser.add_argument("--table", action="store_true", help="a table at the end")
