--- a/trials/call_tree.py
+++ b/trials/call_tree.py
@@ -528,6 +528,8 @@
             continue
         scene = one["scene"] + (f" {one['part']:.0%}" if one["part"] < 1 else "")
         scene += f", {one['services']} service{'s' * (one['services'] > 1)} a level, {one['depth']} deep"
+        if (one["instances"], one["rate"]) != (Plan.instances, Plan.rate):
+            scene += f", {one['instances']} servers a service, {one['rate']:.0f} calls a second each"
         what_if = [f"a budget of {one['budget']:.0%}"] if one["budget"] is not None else []
         if "regains" in one:  # a line from before work that finds nobody earned its part of a trial
             what_if += ["with the mend, as a what-if"] if one["regains"] else ["before the mend"]
