--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -29,8 +29,8 @@
 EARLY = 0.8  # part of the time after which an upstream closes an idle connection, at which we do
 UP = 1 / 4  # part of the shortest due time within which a connection comes up, or is given up
 HELD = 1 / 64  # part of the shortest due time for which the last byte of exclusive work is held back
-RESTED = 1 / 48  # part of it for which a connection is listened to after an answer before the next request
-WARY = 8.0  # longest expiries for which that is done after a connection broke under a request just written
+RESTED = 1 / 48  # part of it within which a second answer may come behind the one that was waited for
+WARY = 8.0  # longest expiries for which one is wary: of breaks after a break, of second answers after one
 HOLD = 1 / 2  # part of the due time after which an answer that does not tell its length is passed on
 STALL = 5.0  # seconds without a byte after which an answer that is passed on counts as broken off
 COMING = 30.0  # seconds that a work item may take to come, as far as its upstream is told
@@ -136,7 +136,7 @@
 
 
 class Upstream(Actor):
-    """Gives errands to its connections: the one used last first, a new one when none is idle."""
+    """Gives errands to its connections: of those that have rested the one used last, else a new one."""
 
     lasting = True
 
@@ -192,15 +192,12 @@
                 errand.connection = connection
                 connection.post(Carry(errand))
                 return
-        while self.idle:
-            connection = self.idle.pop()
-            self.node.ledger.idle.pop(connection, None)
-            # Guards against a request written to a connection that the upstream has closed or soon will.
-            if connection.usable():
-                errand.connection = connection
-                connection.post(Carry(errand))
-                return
-            connection.post(CLOSE)
+        room = self.node.ledger.room_for_upstream()
+        # Guards against a second answer that comes late being taken for that of the next request.
+        if connection := self.rested() or (None if room else self._longest_idle()):
+            errand.connection = connection
+            connection.post(Carry(errand))
+            return
         if not self.node.ledger.room_for_upstream():
             longest_idle = self.node.ledger.longest_idle()
             if longest_idle is None:
@@ -213,6 +210,22 @@
             self.shared.append(errand.connection)
         errand.connection.begin()
 
+    def rested(self) -> Connection | None:
+        """Of the idle connections on which no second answer is expected the one used last; it is taken."""
+        return self._first_usable([c for c in reversed(self.idle) if c.rested()])
+
+    def _longest_idle(self) -> Connection | None:
+        return self._first_usable(self.idle.copy())
+
+    def _first_usable(self, idle: list[Connection]) -> Connection | None:
+        for connection in idle:
+            self._no_longer_idle(connection)
+            # Guards against a request written to a connection that the upstream has closed or soon will.
+            if connection.usable():
+                return connection
+            connection.post(CLOSE)
+        return None
+
 
 class Connection(Actor):
     """One connection to an upstream, from its first errand to its end."""
@@ -224,7 +237,8 @@
         self.body = Body(node.pool)
         self.reason = ""
         self.carried = 0
-        self.idle_since = self.written_at = 0.0
+        self.idle_since = self.written_at = 0.0  # nothing: not yet
+        self.asked = False  # its last errand was a question
         self.entry = upstream.entry  # as it was when this connection was begun
         node.ledger.upstream[self] = None
         node.ledger.note()
@@ -234,9 +248,22 @@
         fresh = self.loop.now() < self.idle_since + EARLY * self.node.terms.keep_idle
         return fresh and not self.ended and self.stream.silent()
 
+    def rested(self) -> bool:
+        """No second answer is to be expected on it any more.
+
+        After a question only while such come: its upstream is often handed the work item at once, and a new
+        connection for each costs upstreams work.
+        """
+        now = self.loop.now()
+        quiet = self.asked and now >= self.node.unasked_until
+        return not self.carried or quiet or now >= self.idle_since + RESTED * self.node.shortest
+
     def run(self) -> Coroutine[None]:
         try:
             yield from self._connect()
+            if self.errand is None:
+                self.upstream.post(Free(self))
+                yield from self._rest()
             while True:
                 fate, report, answer = yield from self._exchange()
                 if self.reason:
@@ -265,7 +292,7 @@
             now = self.loop.now()
             if not written or now < self.written_at + HELD * self.node.shortest:
                 self.node.resets_until = now + WARY * self.node.longest
-        if self.errand is not None and not written and self.carried:
+        if self.errand is not None and not written and self.idle_since:
             # The connection was old, which says nothing of the upstream.
             return Fate.UNSENT
         if reason == "overdue" and written:
@@ -295,8 +322,17 @@
         self.stream.want(WRITE)
         # Guards against a connection that never comes up: a machine that vanished says nothing. What waits
         # has not run, so it is given up while there is time for another upstream.
-        within = self.loop.now() + min(self.node.terms.connect_within, UP * self.node.shortest)
-        yield from self._await(min(within, self.errand.until), "never-came-up")
+        now = self.loop.now()
+        within = now + min(self.node.terms.connect_within, UP * self.node.shortest)
+        until = min(within, self.errand.until)
+        if (yield from self._await(until, "never-came-up", now + RESTED * self.node.shortest)) is None:
+            if kept := self.upstream.rested():
+                # Guards against waiting for one that comes up late where another has rested meanwhile.
+                errand, self.errand = self.errand, None
+                errand.connection = kept
+                kept.post(Carry(errand))
+                until = within
+            yield from self._await(until, "never-came-up")
         self.stream.came_up()
 
     # One errand.
@@ -305,9 +341,9 @@
         errand, stream = self.errand, self.stream
         if self.carried:
             yield from self._listen(errand)
-        if self.carried and not stream.silent():
+        if self.idle_since:
             # Guards against what came behind the last answer being taken for the next one.
-            raise Lost("unasked-bytes")
+            self._nothing_came()
         if moved(self.entry, self.node):
             raise Lost("moved")
         if unwanted(errand, self.loop.now()):
@@ -328,10 +364,11 @@
         if stream.http.our_state is h11.DONE and stream.http.their_state is h11.DONE:
             stream.http.start_next_cycle()
             if stream.http.trailing_data[0]:
-                self.reason = "unasked-bytes"
+                self.reason = self._unasked()
         else:
             self.reason = "upstream-closes"
         fate = fate_of(response.status_code, headers)
+        self.asked = errand.job is None
         self.carried += 1
         if self.errand is None:
             return fate, report, None  # it has been passed on
@@ -342,15 +379,28 @@
         return fate, report, None
 
     def _listen(self, errand: Errand) -> Coroutine[None]:
-        """Guards against a second answer to the last request, that comes late, being taken for this one's."""
-        until = self.idle_since + RESTED * self.node.shortest
+        """Guards against a second answer to the last request, that comes late, being taken for this one's.
+
+        Only while such come: a connection that has not rested is used where there is no room for another.
+        """
+        until = min(self.idle_since + RESTED * self.node.shortest, self.node.unasked_until)
         while self.loop.now() < until:
             mail = yield until
-            if isinstance(mail, Ready) and not self.stream.silent():
-                raise Lost("unasked-bytes")
+            if isinstance(mail, Ready):
+                self._nothing_came()
             if isinstance(mail, Drop) and mail.errand is errand:
                 raise Lost("dropped")
 
+    def _nothing_came(self) -> None:
+        """Raises `Lost` if something has come that nobody waits for, be it the end."""
+        if not self.stream.silent():
+            raise Lost("upstream-closed" if self.stream.ended() else self._unasked())
+
+    def _unasked(self) -> str:
+        """Bytes came that nobody had asked for: it may happen again, here or at another upstream."""
+        self.node.unasked_until = self.loop.now() + WARY * self.node.longest
+        return "unasked-bytes"
+
     def _pass_request(self, errand: Errand, flow: Flow) -> Coroutine[None]:
         """Write a body while it comes; what ends it is left to be written."""
         flow.sink = self
@@ -535,12 +585,12 @@
             if isinstance(mail, Carry):
                 self.errand = mail.errand
                 return
+            if mail is CLOSE or isinstance(mail, Ready):
+                self._nothing_came()
             if mail is CLOSE:
                 raise Lost("not-needed")
             if mail is None:
                 raise Lost("idle")
-            if isinstance(mail, Ready) and not self.stream.silent():
-                raise Lost("upstream-closed")
 
     def _settle(self, fate: Fate, report: dict[str, float], answer: Answer | None) -> None:
         if self.errand is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,7 +12,9 @@
 import h11
 import msgspec
 import pytest
+from known_red import KnownRed
 
+from standins.loopback import own_host
 from starlingwheel.decisions.runner import Runner
 from starlingwheel.decisions.terms import (
     Category,
@@ -28,6 +30,12 @@
 )
 from starlingwheel.net.lifecycle.config import configured
 from starlingwheel.net.lifecycle.start import Node
+from starlingwheel.net.wire import upstream as wire
+
+
+def pytest_configure(config):
+    config.pluginmanager.register(KnownRed(config), "known-red")
+
 
 LOOK = Category("look", Effect.RERUNNABLE, due_time=1.0, payoff=1.0, expiry=3.0)
 BUY = Category("buy", Effect.EXCLUSIVE, due_time=1.0, payoff=8.0, expiry=3.0)
@@ -165,7 +173,7 @@
 
 def bound(kind=socket.SOCK_STREAM, backlog=16, listening=True):
     sock = socket.socket(socket.AF_INET, kind)
-    sock.bind(("127.0.0.1", 0))
+    sock.bind((own_host(), 0))
     if kind is socket.SOCK_STREAM and listening:
         sock.listen(backlog)
     sock.settimeout(0)
@@ -350,6 +358,12 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         sock.close()
 
+    def rested(self):
+        """Turn until the connections to upstreams are idle and no second answer is expected on them."""
+        rest = wire.RESTED * self.node.shortest
+        idle = self.node.ledger.idle
+        self.until(lambda: idle and all(c.idle_since + rest <= self.node.loop.now() for c in idle))
+
     def all_go_to(self, i, times):
         """So many requests, each from a new client and on a new connection, reach this upstream."""
         for _ in range(times):
--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -9,10 +9,11 @@
 
 import pytest
 
-from trials import hard, loss
+from trials import added, hard, loss
 from trials.rig import ROOT, Rig
 
 
+@pytest.mark.xdist_group("trials-1")
 @pytest.mark.parametrize("seed", [1, 2])
 def test_exclusive_work_in_hand_runs_once_when_its_sidecar_is_killed(seed):
     verdict = asyncio.run(loss.play(seed, rate=100))
@@ -23,6 +24,7 @@
     assert counts["finished"] >= counts["work"] - counts["in hand at the loss"] - 4
 
 
+@pytest.mark.xdist_group("trials-2")
 def test_the_same_where_the_fleet_is_cut_into_cells():
     verdict = asyncio.run(loss.play(3, sidecars=8, rate=100, cell_size=3))
     counts = verdict.counts
@@ -30,6 +32,7 @@
     assert counts["in hand at the loss"] and counts["of these ran twice"] == 0
 
 
+@pytest.mark.xdist_group("trials-1")
 def test_the_rig_sees_what_runs_twice_where_nothing_covers_it():
     verdict = asyncio.run(loss.play(1, fleet=False, rate=200))
     assert not verdict.kept and verdict.counts["of these ran twice"]
@@ -53,12 +56,23 @@
     assert done.stdout.splitlines()[-1] == "[]"
 
 
+@pytest.mark.xdist_group("trials-1")
 @pytest.mark.parametrize("case", ["bodies", "keeper", "stopped"])
 def test_hard_cases_keep_their_promises(case):
     verdict = asyncio.run(hard.CASES[case](1))
     assert verdict.kept, verdict.broken
 
 
+@pytest.mark.xdist_group("trials-2")
+def test_what_a_sidecar_adds_is_measured_by_pairs_of_calls(capsys):
+    verdict = asyncio.run(added.play(1, rates=(100.0,), count=5, service=0.001, seconds=added.FIRST + 1))
+    heads, row = capsys.readouterr().out.splitlines()
+    assert verdict.kept, verdict.broken
+    assert heads.split()[:3] == ["rate", "pairs", "failed"] and row.split()[0] == "100"
+    assert int(row.split()[1]) > 20 and int(row.split()[2]) == 0 and int(row.split()[-1]) > 0
+
+
+@pytest.mark.xdist_group("trials-2")
 def test_links_with_nothing_at_stake_say_little():
     async def counted():
         async with Rig(1, sidecars=4, upstreams=3) as rig:
--- a/trials/scale/run.py
+++ b/trials/scale/run.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from starlingwheel.fleet.records import Cut
+
 from ..policy import body
 from ..rig import CAPS, CATEGORIES, ROOT, ZONES
 from . import counts
@@ -54,6 +56,14 @@
     """The fleet did not get there: the run's result for that size."""
 
 
+def cells_of(size: int, cell_size: int) -> int:
+    """Into how many cells a fleet of that size is cut."""
+    count = 1
+    while size > count * cell_size:
+        count *= 2
+    return count
+
+
 class Run:
     def __init__(self, given: Given, out: Callable[[dict[str, Any]], None]) -> None:
         self.given, self.out = given, out
@@ -68,6 +78,7 @@
         self.lock: socket.socket | None = None
         self.commit = checkout()
         self.started: dict[str, Any] = {}
+        self.cells = 1
         self.last: dict[str, int] = {}  # what was seen of the hollow ones last
 
     # Start and end.
@@ -82,6 +93,9 @@
         }  # fmt: skip
         if given.cell_size:
             part["cell_size"] = given.cell_size
+            # As the arbiter has it of a fleet that has grown to this size: it would double step by step.
+            cut = Cut(cells_of(plan.size, given.cell_size))
+            await self.arbiter.ask("put", key="/scale/cells", value=msgspec.json.encode(cut).decode())
         number = 0
         for worker, count in zip(self.workers, [*plan.shared, *[1] * plan.alone], strict=True):
             members = []
@@ -122,6 +136,7 @@
             "enter_s": round(entered - began, 3),
             "real_s": round(joined - entered, 3),
             "view_s": round(linking - joined, 3),
+            "cells": self.cells,
             "link_s": round(linked - linking, 3),
         }
 
@@ -174,7 +189,12 @@
 
     async def _seen(self) -> bool:
         told = await self._all("state")
-        return {size for one in told for size in one["sizes"]} == {str(self.plan.size)}
+        cells = {count for one in told for count in one["cells"]}
+        self.cells = max(cells, default=1)
+        self.last = {"views": len({view for one in told for view in one["views"]}), "cells": self.cells}
+        # Links begin in the cells as they will be: none is opened for nothing.
+        cut = not self.given.cell_size or min(cells) * self.given.cell_size >= self.plan.size
+        return cut and {size for one in told for size in one["sizes"]} == {str(self.plan.size)}
 
     async def _ready(self, members: int, hollow: int | None = None) -> bool:
         """All hollow ones that are there are ready, under one view."""
--- a/trials/scale/slopes.py
+++ b/trials/scale/slopes.py
@@ -17,9 +17,9 @@
 
 import numpy as np
 
-from starlingwheel.net.fleet.links import A_SECOND
+from starlingwheel.net.fleet.links import A_SECOND, IDLE
 
-KNEE = A_SECOND  # words a second that a member says at rest at most: other forms hold below and above
+KNEE = int(A_SECOND * IDLE[1])  # links beyond which each has a word in the longest pause: another form holds
 FORMS = {"constant": 1, "linear": 2, "square": 3}
 LEAST = {"constant": 1, "linear": 2, "square": 4}  # sizes for each
 WORTH = 1 / 2  # a further part has to take so much of what remains: guards against fitting the noise
@@ -121,7 +121,7 @@
 def ranges(
     by_size: Mapping[int, float], role: str, phase: str, knee: int
 ) -> Iterable[tuple[str, dict[int, float]]]:
-    """What is fitted by itself: at rest a member says no more beyond the knee."""
+    """What is fitted by itself: at rest other forms hold below and above the knee."""
     if phase == "rest" and role != "arbiter":
         below = {n: v for n, v in by_size.items() if n <= knee}
         above = {n: v for n, v in by_size.items() if n > knee}
@@ -187,7 +187,7 @@
     parser.add_argument("files", nargs="+", type=Path, help="lines of trials.scale")
     parser.add_argument("--size", type=int, default=1600, help="what the fits say of it (1600)")
     parser.add_argument(
-        "--knee", type=int, default=KNEE, help=f"words a second that a member said at most ({KNEE})"
+        "--knee", type=int, default=KNEE, help=f"size from which on another form holds at rest ({KNEE})"
     )
     parser.add_argument("--phase", help="only this one")
     parser.add_argument("--role", help="only this one")
