--- a/trials/hard.py
+++ b/trials/hard.py
@@ -150,10 +150,11 @@
         verdict = await rig.judged(sending)
         doubts = sum(line["reason"] == "alone" for s in rig.sidecars for line in s.logged("policy.doubt"))
         uncovered = sum(len(s.logged("cover.none", "cover.given_up")) for s in rig.sidecars)
-        verdict.counts |= {"doubts": doubts, "uncovered or given up": uncovered}
+        held_up = [w.name for w in rig.clients.done if not w.finished or len(w.tries) > 1]
+        verdict.counts |= {"doubts": doubts, "uncovered or given up": uncovered, "held up": len(held_up)}
         verdict.counts["with a lease still"] = sum(t["lease_s"] > 0 for t in told)
-        if doubts or uncovered:
-            verdict.broken.append("the arbiter's loss was seen")
+        if doubts or uncovered or held_up:
+            verdict.broken.append(f"the arbiter's loss was seen, by {held_up[:5]}")
         return verdict
 
 
