Scale run: who calls a member that has not begun its links waits in the kernel; cells to 400 members at rest

Their words piled up in its mailbox: at 400 members hollow ones took 0.9% of a core and 1.7 MB more each.

--- a/trials/scale/member.py
+++ b/trials/scale/member.py
@@ -25,6 +25,7 @@
 from starlingwheel.net.fleet.policy import Ruling
 from starlingwheel.net.fleet.start import Fleet, Who
 from starlingwheel.net.lifecycle.config import Config, terms_of
+from starlingwheel.net.loop import READ
 from starlingwheel.net.mail import CLOSE
 from starlingwheel.net.memory.buffers import Pool
 from starlingwheel.net.wire.client import BACKLOG
@@ -236,7 +237,8 @@
             actor.meter = self.meter
         self.named, fleet.links.named = fleet.links.named, self._named
         self.started, self.ready_s = loop.now(), 0.0
-        fleet.links.queued = True  # its mail waits until it has begun
+        fleet.links.queued = True  # its mail waits until it has begun, and who calls waits in the kernel
+        loop.forget(sock.fileno())
         fleet.module.begin()
         fleet.lessee.begin()
 
@@ -251,6 +253,7 @@
         assert self.fleet is not None
         links = self.fleet.links
         self.started = self.loop.now()
+        self.loop.watch(links.sock.fileno(), links, READ)
         links.begin()
         links.queued = False
         if links.mailbox:
