--- a/trials/scale/member.py
+++ b/trials/scale/member.py
@@ -237,9 +237,8 @@
             actor.meter = self.meter
         self.named, fleet.links.named = fleet.links.named, self._named
         self.started, self.ready_s = loop.now(), 0.0
-        fleet.links.queued = True  # its mail waits until it has begun
-        # Guards against a word of the listening socket in each turn until then.
-        loop.change(sock.fileno(), 0)
+        fleet.links.queued = True  # its mail waits until it has begun, and who calls waits in the kernel
+        loop.forget(sock.fileno())
         fleet.module.begin()
         fleet.lessee.begin()
 
@@ -254,8 +253,8 @@
         assert self.fleet is not None
         links = self.fleet.links
         self.started = self.loop.now()
+        self.loop.watch(links.sock.fileno(), links, READ)
         links.begin()
-        self.loop.change(links.sock.fileno(), READ)
         links.queued = False
         if links.mailbox:
             self.loop.queue(links)
