--- a/trials/scale/run.py
+++ b/trials/scale/run.py
@@ -24,7 +24,7 @@
 from . import counts
 from .control import Process
 from .counts import HEADERS, Sample
-from .limits import Plan
+from .limits import MEMORY, Plan
 from .real import Real
 
 PORT = 7950  # of every hollow member, each on an address of its own
@@ -97,6 +97,7 @@
             cut = Cut(cells_of(plan.size, given.cell_size))
             await self.arbiter.ask("put", key="/scale/cells", value=msgspec.json.encode(cut).decode())
         number = 0
+        most = int(counts.machine_memory()[0] * MEMORY / plan.processes)
         for worker, count in zip(self.workers, [*plan.shared, *[1] * plan.alone], strict=True):
             members = []
             for _ in range(count):
@@ -112,7 +113,7 @@
                 "slotNo": number,
             }  # fmt: skip
             told = await worker.begin(
-                members=members, port=PORT, settings=settings, fleet=part, seed=given.seed
+                members=members, port=PORT, settings=settings, fleet=part, seed=given.seed, most=most
             )
             self.base[worker] = told["memory"]
         began = time.monotonic()
--- a/trials/scale/worker.py
+++ b/trials/scale/worker.py
@@ -5,6 +5,7 @@
 import gc
 import json
 import os
+import resource
 import sys
 import time
 import traceback
@@ -46,6 +47,8 @@
     # What the run asks.
 
     def begin(self, given: dict[str, Any]) -> dict[str, Any]:
+        # Guards against a fleet that grows without end taking the machine's memory from all others.
+        resource.setrlimit(resource.RLIMIT_AS, (given["most"], resource.getrlimit(resource.RLIMIT_AS)[1]))
         for name, host in given["members"]:
             self.members[name] = Member(self.loop, self.pool, name, host, given["port"], given)
         gc.collect()
