One count of cells for rig and scale run, one look at the room for a new connection

Cause: read once more, the rig and the scale run each counted into how many cells a fleet is cut and put the entry at the arbiter in a way of their own; Upstream._carry asked twice for room; Listener._make_room went on asking once there was nobody to close. Change: cells_of of the rig and Arbiter.put serve both; the other two end early. Behaviour stays as it is.

--- a/starlingwheel/net/wire/client.py
+++ b/starlingwheel/net/wire/client.py
@@ -105,8 +105,10 @@
 
     def _make_room(self) -> None:
         for _ in range(AT_ONCE // 4):
-            if expendable := self.node.ledger.client_to_close(self.loop.now() - PROMPT * QUIET):
-                expendable.post(CLOSE)
+            expendable = self.node.ledger.client_to_close(self.loop.now() - PROMPT * QUIET)
+            if expendable is None:
+                return
+            expendable.post(CLOSE)
 
 
 class Client(Actor):
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -198,7 +198,7 @@
             errand.connection = connection
             connection.post(Carry(errand))
             return
-        if not self.node.ledger.room_for_upstream():
+        if not room:
             longest_idle = self.node.ledger.longest_idle()
             if longest_idle is None:
                 self.node.module.post(Ended(errand, Fate.UNSENT))
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -14,7 +14,6 @@
 import sys
 import tempfile
 import time
-from base64 import b64encode
 from pathlib import Path
 from typing import Any
 
@@ -54,6 +53,14 @@
 )  # the program under a clock that is ahead
 
 
+def cells_of(members: int, cell_size: int) -> int:
+    """Into how many cells so many are cut, with so many a cell on the mean at most; 0: one cell."""
+    count = 1
+    while cell_size and members > count * cell_size:
+        count *= 2
+    return count
+
+
 def _die_with_parent() -> None:
     """Guards against processes that outlive a rig that was killed."""
     ctypes.CDLL(None).prctl(DIE_WITH_PARENT, signal.SIGKILL)
@@ -253,10 +260,7 @@
     @property
     def cells(self) -> int:
         """Into how many the fleet is to be cut when all are in."""
-        count = 1
-        while self.cell_size and len(self.sidecars) > count * self.cell_size:
-            count *= 2
-        return count
+        return cells_of(len(self.sidecars), self.cell_size)
 
     def between(self, one: Sidecar, other: Sidecar) -> tuple[Way, Way]:
         """The ways of the link between two sidecars: from the first to the second, and back.
@@ -303,10 +307,7 @@
         if self.fleet:
             await self.arbiter.begin()
         if self.cells > 1 and self.cut:
-            entry = {"key": b64encode(b"/trial/cells").decode()}
-            self.arbiter._put(
-                entry | {"value": b64encode(json.dumps({"count": self.cells}).encode()).decode()}
-            )
+            self.arbiter.put("/trial/cells", json.dumps({"count": self.cells}))
         for sidecar in self.sidecars:
             await sidecar.prepare()
         for sidecar in self.sidecars:
--- a/trials/scale/run.py
+++ b/trials/scale/run.py
@@ -20,7 +20,7 @@
 from starlingwheel.fleet.records import Cut
 
 from ..policy import body
-from ..rig import CAPS, CATEGORIES, ROOT, ZONES
+from ..rig import CAPS, CATEGORIES, ROOT, ZONES, cells_of
 from . import counts
 from .control import Process
 from .counts import HEADERS, Sample
@@ -56,14 +56,6 @@
     """The fleet did not get there: the run's result for that size."""
 
 
-def cells_of(size: int, cell_size: int) -> int:
-    """Into how many cells a fleet of that size is cut."""
-    count = 1
-    while size > count * cell_size:
-        count *= 2
-    return count
-
-
 class Run:
     def __init__(self, given: Given, out: Callable[[dict[str, Any]], None]) -> None:
         self.given, self.out = given, out
