--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -46,6 +46,7 @@
         self.reason = "defect"  # why it has ended
         self.heard = False  # its answer has begun
         self.begun_at = self.read_at = node.loop.now()  # the latter: when something was read last
+        self.line = b""  # what has come of a line that is not whole yet
         self.part = b""  # of an object that lies over several lines
         self.depth = 0  # its brackets that are open
         super().__init__(node.loop)
@@ -61,9 +62,22 @@
         finally:
             if self.stream is not None:
                 self.stream.close()
-            self.node.log("list.end", reason=self.reason, address=self.address, version=self.version)
+            self._log_end()
             self.node.list.post(WatchEnded(self))
 
+    def _log_end(self) -> None:
+        now = self.loop.now()
+        self.node.log(
+            "list.end",
+            reason=self.reason,
+            address=self.address,
+            version=self.version,
+            answered=self.heard,
+            open_s=round(now - self.begun_at, 3),
+            silent_s=round(now - self.read_at, 3),
+            unread_bytes=len(self.part) + len(self.line),  # of a message that was cut off
+        )
+
     def _await(self, until: float) -> Coroutine[None]:
         while True:
             mail = yield until
@@ -88,7 +102,6 @@
         while not stream.write():
             yield from self._await(given_up)
         stream.want(READ)
-        line = b""
         while True:
             event = stream.event()
             if event is h11.NEED_DATA:
@@ -100,10 +113,11 @@
                 if event.status_code != 200:
                     raise Lost(f"answered-{event.status_code}")
                 self.heard = True
+                self.node.log("list.answered", waited_s=round(self.loop.now() - self.begun_at, 3))
                 self.node.list.post(Answered(self))
             elif isinstance(event, h11.Data):
-                *whole, line = (line + bytes(event.data)).split(b"\n")
-                if len(line) > LONGEST_LINE:
+                *whole, self.line = (self.line + bytes(event.data)).split(b"\n")
+                if len(self.line) > LONGEST_LINE:
                     raise Lost("line-too-long")
                 for text in whole:
                     self._line(text)
@@ -254,6 +268,7 @@
         self.due = min(second, now + self._soon(FIRST))
         # A new discovery is asked for the whole list: its versions need not be those of the old one.
         watch = Watch(self.node, self.address, 0 if self.moving else self.version, self.patience)
+        self.node.log("list.call", address=self.address, version=watch.version)
         if self._asked is None:
             self._put(watch)
         else:
--- a/starlingwheel/net/wire/streams.py
+++ b/starlingwheel/net/wire/streams.py
@@ -179,6 +179,7 @@
         ):
             self._settle(errand, Fate.UNSENT)
             return
+        self.upstream.note_begun(errand, self.loop.now())
         try:
             number = self.http.get_next_available_stream_id()
             method, target, headers = request_of(errand, self.node, self.loop.now())
--- a/starlingwheel/net/wire/upstream.py
+++ b/starlingwheel/net/wire/upstream.py
@@ -144,6 +144,7 @@
         self.node, self.entry = node, entry
         self.idle: list[Connection] = []
         self.shared: list[Any] = []  # connections that carry many at once, where the settings say so
+        self.last_begun_at, self.last_trace = 0.0, b""  # of the last attempt begun here; 0: none
         super().__init__(node.loop)
 
     def run(self) -> Coroutine[None]:
@@ -184,8 +185,19 @@
             for connection in [*self.idle, *self.shared]:
                 self._no_longer_idle(connection)
                 connection.post(CLOSE)
+            self._log_moved(entry)
         self.entry = entry or before
 
+    def _log_moved(self, entry: Any) -> None:
+        """What was begun here last, and when: shows whether anything was begun after the notice."""
+        self.node.log(
+            "upstream.moved",
+            upstream=self.entry.id,
+            state=entry.state if entry is not None else "left",
+            last_begun_at=self.last_begun_at,
+            last_trace=self.last_trace.decode("latin-1"),
+        )
+
     def _carry(self, errand: Errand) -> None:
         for connection in self.shared:
             if connection.takes():
@@ -210,6 +222,11 @@
             self.shared.append(errand.connection)
         errand.connection.begin()
 
+    def note_begun(self, errand: Errand, now: float) -> None:
+        """The first byte of an attempt is about to be written."""
+        self.last_begun_at = now
+        self.last_trace = errand.job.trace if errand.job is not None else b""
+
     def rested(self) -> Connection | None:
         """Of the idle connections on which no second answer is expected the one used last; it is taken."""
         return self._first_usable([c for c in reversed(self.idle) if c.rested()])
@@ -348,6 +365,7 @@
             raise Lost("moved")
         if unwanted(errand, self.loop.now()):
             return Fate.UNSENT, {}, None
+        self.upstream.note_begun(errand, self.loop.now())
         self._put(errand)
         if errand.flow is not None:
             yield from self._pass_request(errand, errand.flow)
