--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -9,7 +9,21 @@
 import sys
 from pathlib import Path
 
-from . import added, call_tree, capacity, cost, hard, loss, outage, parts, policy, rest, storm, zones
+from . import (
+    added,
+    call_tree,
+    capacity,
+    cost,
+    endpoint_list,
+    hard,
+    loss,
+    outage,
+    parts,
+    policy,
+    rest,
+    storm,
+    zones,
+)
 from .rig import ROOT
 from .scale.__main__ import main as scale
 
@@ -20,6 +34,7 @@
     "cost": cost.play,
     "added": added.play,
     **outage.CASES,
+    **endpoint_list.CASES,
     "rest": rest.play,
     "policy": policy.changes,
     **hard.CASES,
