--- a/starlingwheel/net/gate.py
+++ b/starlingwheel/net/gate.py
@@ -37,6 +37,7 @@
         self.lease, self.out, self.now, self.log = lease, out, now, log
         self.refused: Counter[Refusal] = Counter()
         self.late = 0  # first bytes that were written longer after the look than the lease allows for
+        self.stale_rejections = 0  # requests rejected while the lease had expired
         self.violations = 0  # attempts and answers that the decisions asked for and that no rule allows
         self.last_state = LeaseState.FRESH
 
@@ -80,6 +81,11 @@
             self.late += 1
         errand.looked_at = 0.0
 
+    def note_rejected(self) -> None:
+        """A request is rejected: counts those that the lease is the reason for."""
+        self.note_state()
+        self.stale_rejections += self.last_state is LeaseState.EXPIRED
+
     def note_state(self) -> None:
         """Log the lease's state where it has changed."""
         now = self.now()
--- a/starlingwheel/net/lifecycle/stop.py
+++ b/starlingwheel/net/lifecycle/stop.py
@@ -107,6 +107,7 @@
                 slowest_ms=round(node.module.slowest * 1000, 1),
                 lease=node.lease.state(self.loop.now()).value,
                 refused={why.value: count for why, count in node.gate.refused.items()},
+                rejected_stale=node.gate.stale_rejections,
                 gate_violations=node.gate.violations,
                 written_late=node.gate.late,
             )
--- a/starlingwheel/net/module.py
+++ b/starlingwheel/net/module.py
@@ -154,6 +154,7 @@
         if not self.node.gate.may_reject(job):
             self.write_off(wi)
             return
+        self.node.gate.note_rejected()
         self._final(job, Final(DEFERRED, come_back=come_back), "deferred")
         self._forget_if_closed(job)
 
--- a/starlingwheel/net/wire/discovery.py
+++ b/starlingwheel/net/wire/discovery.py
@@ -140,6 +140,7 @@
         """A line has come whole: all that discovery has told up to now is known."""
         if self is self.node.list.current and not self.part:
             self.node.lease.prove(self.read_at, self.message_at or self.read_at)
+            self.node.gate.note_state()
 
     def _line(self, text: bytes) -> None:
         if (word := self._word(text.strip())) is not None:
@@ -335,6 +336,7 @@
         if watch is self.current:
             self.version, self.pause, self.patience = word.version, 0.0, self.first
             self.node.lease.prove(watch.read_at, watch.message_at or watch.read_at)
+            self.node.gate.note_state()
             if self.without_at < inf and not word.full:
                 self._begin_with(self.known)  # it says what has changed since, be it nothing
             self.without_at = inf
