--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -144,14 +144,17 @@
     # The connection is on its way up, and the list expires before the first byte.
     around.node.lease.expires_at = around.node.loop.now()
     assert around.status(client) == 503
-    assert around.read(around.accept()) is None
+    sock = around.accept()
+    assert around.read(sock) is None
     refused = around.node.gate.refused
     assert sum(refused.values()) == 1 and next(iter(refused)).value == "lease-expired"
     around.say(watch, {"version": 9, "servers": []})
     around.until(lambda: around.node.lease.allows(around.node.loop.now()))
     assert [line["state"] for line in around.logged("lease")] == ["expired", "fresh"]
+    # The connection stays, and carries the next one.
     client = around.ask("buy")
-    around.serve()
+    around.received(sock)
+    around.reply(sock)
     assert around.status(client) == 200
 
 
--- a/trials/endpoint_list.py
+++ b/trials/endpoint_list.py
@@ -20,6 +20,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -36,6 +37,7 @@
 ANSWER_SLACK = 0.5  # after its deadline an answer still counts
 SERVICE = 0.01
 DEADLINE = 1.0
+STOP_TIME = 0.7  # beyond the longest deadline, within which a process that was told to stop has ended
 METHODS = {"look": "GET", "buy": "POST", "move": "POST"}
 SHARES = {"look": 0.5, "buy": 0.3, "move": 0.2}
 
@@ -368,6 +370,118 @@
         return await trial.verdict()
 
 
+class Faults:
+    """Random faults of discovery, servers and processes that overlap; a seed names the timetable."""
+
+    def __init__(self, trial: Trial, seconds: float) -> None:
+        self.trial, self.chance = trial, trial.chance
+        self.until = asyncio.get_running_loop().time() + seconds
+        self.standby = list(trial.servers)[: len(trial.servers) // 4]  # servers that come and go
+        self.kinds = (
+            self.crowd,
+            self.outage,
+            self.silence,
+            self.reset,
+            self.break_messages,
+            self.replace_server,
+            self.replace_server,
+            self.hang_server,
+            self.kill,
+            self.stop,
+            self.pause,
+        )
+
+    async def play(self) -> None:
+        """Several at a time, each after a pause of its own."""
+        await asyncio.gather(*(self._one_after_another() for _ in range(4)))
+
+    async def _one_after_another(self) -> None:
+        loop = asyncio.get_running_loop()
+        while (left := self.until - loop.time()) > 4.0:
+            await asyncio.sleep(self.chance.random() * 1.5)
+            fault = self.chance.choice(self.kinds)
+            self.trial.counts[f"fault {fault.__name__}"] += 1
+            await fault(min(left, 0.5 + self.chance.random() * 7.0))
+
+    async def crowd(self, seconds: float) -> None:
+        discovery = self.trial.discovery
+        discovery.calls_per_second = len(discovery.fronts) / (1.0 + 4.0 * self.chance.random())
+        discovery.longest_wait = self.chance.choice((1.0, 2.0, 3.0))
+        await asyncio.sleep(seconds)
+        discovery.calls_per_second = inf
+
+    async def outage(self, seconds: float) -> None:
+        self.trial.discovery.go_down()
+        await asyncio.sleep(seconds)
+        self.trial.discovery.come_back()
+
+    async def silence(self, seconds: float) -> None:
+        self.trial.discovery.fall_silent()
+        await asyncio.sleep(seconds / 4)
+
+    async def reset(self, seconds: float) -> None:
+        self.trial.discovery.reset_watches()
+        await asyncio.sleep(seconds / 4)
+
+    async def break_messages(self, seconds: float) -> None:
+        self.trial.discovery.push_fault = self.chance.choice(list(Fault))
+        await asyncio.sleep(seconds)
+        self.trial.discovery.push_fault = Fault.NONE
+
+    async def replace_server(self, seconds: float) -> None:
+        """One drains, goes and comes back, all the while answering whoever asks."""
+        if not self.standby:
+            return
+        name = self.standby.pop()
+        self.trial.drain(name)
+        await asyncio.sleep(seconds)
+        self.trial.drain(name, state="left")
+        await asyncio.sleep(0.5)
+        self.trial.discovery.change(self.trial.entry(name))
+        self.standby.append(name)
+
+    async def hang_server(self, seconds: float) -> None:
+        name = self.chance.choice([*self.trial.servers])
+        self.trial.hanging.add(name)
+        await asyncio.sleep(seconds / 2)
+        self.trial.hanging.discard(name)
+
+    async def kill(self, seconds: float) -> None:
+        sidecar = self.chance.choice(self.trial.sidecars)
+        sidecar.kill()
+        await asyncio.sleep(0.2)
+        sidecar.start()
+
+    async def stop(self, seconds: float) -> None:
+        sidecar = self.chance.choice(self.trial.sidecars)
+        process = sidecar.process
+        sidecar.signal(signal.SIGTERM)
+        until = asyncio.get_running_loop().time() + DEADLINE + STOP_TIME
+        while sidecar.alive and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.05)
+        if sidecar.process is process:
+            sidecar.kill()
+            sidecar.start()
+
+    async def pause(self, seconds: float) -> None:
+        """Held up for a little less than the 0.15 s that a process may be."""
+        sidecar = self.chance.choice(self.trial.sidecars)
+        sidecar.signal(signal.SIGSTOP)
+        await asyncio.sleep(0.12)
+        sidecar.signal(signal.SIGCONT)
+
+
+async def soak(
+    seed: int, sidecars: int = 24, seconds: float = 30.0, root: Path = ROOT, fleet: bool = True
+) -> Verdict:
+    """Random faults that overlap, over a few dozen real processes, judged by the invariants."""
+    del fleet
+    async with Trial(seed, sidecars=sidecars, servers=8, root=root) as trial:
+        async with traffic(trial, rate=4, seconds=seconds, leave=0.05):
+            await Faults(trial, seconds).play()
+        return await trial.verdict()
+
+
 CASES = {
     "cut-message": lambda seed, root=ROOT, fleet=True: broken_message(Fault.ENDED, seed, root),
     "reset-message": lambda seed, root=ROOT, fleet=True: broken_message(Fault.RESET, seed, root),
@@ -375,4 +489,5 @@
     "silent-watch": lambda seed, root=ROOT, fleet=True: silent_watch(seed, root),
     "ended-instead": lambda seed, root=ROOT, fleet=True: ended_instead(seed, root),
     "restarted": lambda seed, root=ROOT, fleet=True: restarted(seed, root),
+    "list-soak": soak,
 }
