--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -69,6 +69,8 @@
     def restarted(self) -> None:
         """A new process: only what it is told itself counts."""
         self.started_at = asyncio.get_running_loop().time()
+        for call in self.calls:
+            call.end()  # what is still written to the last process does not count for this one
         self.written: list[tuple[float, int]] = []  # when which version was written
         self.silent_since = inf
 
--- a/starlingwheel/decisions/lease.py
+++ b/starlingwheel/decisions/lease.py
@@ -21,6 +21,8 @@
 # A watch that ends may have ended instead of telling of a change, which then counts as notified. Measured on
 # the bench: 1.68 s at the least.
 ENDED_NOTICE = 1.5
+# What a new discovery has counts as notified so long after a new configuration names it.
+MOVED_NOTICE = 4.0
 # A process may be held up between its look at the clock and its first byte, and the clocks have some slack.
 HELD_UP = 0.2
 # The grace where the settings name none: time for the rest of a message to arrive.
@@ -62,8 +64,11 @@
         self.expires_at = now + self._unheard_notice
 
     def prove(self, now: float, begun_at: float) -> None:
-        """The watch in force has said something, whole; its first byte came at `begun_at`."""
-        if begun_at >= self.incomplete_since:
+        """The watch in force has said something, whole; its first byte came at `begun_at`.
+
+        Of two calls that are answered together one is given up within its message: the other tells the same.
+        """
+        if begun_at > self.incomplete_since - self.allowance:
             self.incomplete_since = inf
         self.doubtful_at = now + DOUBT_AFTER
         self.expires_at = now + MISSED_NOTICE + self.allowance
@@ -96,7 +101,7 @@
 
     def move_source(self, now: float) -> None:
         """Another source is in force from now on, which has not been heard yet."""
-        self.moves_by = now + MISSED_NOTICE - PUSH_DELAY + self.allowance
+        self.moves_by = now + MOVED_NOTICE + self.allowance
 
     def moved_source(self) -> None:
         """The new source has been heard."""
