--- a/starlingwheel/decisions/rules.py
+++ b/starlingwheel/decisions/rules.py
@@ -833,8 +833,8 @@
             self.reported = sum(u.held for u in self.upstreams.values())
 
     def probed(self, address: str, fate: Fate, took: float, report: dict[str, float]) -> None:
-        if (u := self.upstreams.get(address)) is None or fate is Fate.UNSENT:
-            return  # what was not sent says nothing of it
+        if (u := self.upstreams.get(address)) is None:
+            return
         self._read(u, report)
         if fate is Fate.FINISHED:
             u.answered = self.now
