--- a/starlingwheel/net/gate.py
+++ b/starlingwheel/net/gate.py
@@ -10,6 +10,7 @@
 import enum
 from collections import Counter
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 from ..decisions.lease import HELD_UP, EndpointLease, LeaseState
@@ -26,6 +27,7 @@
     ANSWERED = "answered"  # the request has its final answer
     TOO_LATE = "too-late"  # its time is over
     CLIENT_LEFT = "client-left"
+    WINDOW_OVER = "window-over"  # repeats of what may have run are not dropped any more
 
 
 class AttemptGate:
@@ -43,7 +45,7 @@
 
     def refusal(self, entry: Any, errand: Errand) -> Refusal | None:
         """Why nothing may be sent to this endpoint for this errand now; None: it may."""
-        why = self._endpoint_refusal(entry) or self.unwanted(errand)
+        why = self._endpoint_refusal(entry) or self._repeat_refusal(errand) or self.unwanted(errand)
         if why is not None:
             self.refused[why] += 1
         else:
@@ -61,6 +63,18 @@
         self.note_state()
         return None if self.lease.allows(self.now()) else Refusal.LEASE_EXPIRED
 
+    def _repeat_refusal(self, errand: Errand) -> Refusal | None:
+        """Guards against a repeat that was chosen within its window and begins after it: a connection came up
+        late, or the process was held up."""
+        job = errand.job
+        if job is None or job.wi.category.effect is not Effect.TICKETED:
+            return None
+        others = (other.sent for other in job.errands.values() if other is not errand and other.written)
+        first = min(job.risky_since, *others, inf)
+        memory = job.wi.category.memory
+        over = self.now() >= first + max(memory - HELD_UP, memory / 2)
+        return Refusal.WINDOW_OVER if over else None
+
     def unwanted(self, errand: Errand) -> Refusal | None:
         """Why nothing more is to be sent for an errand, though no word of it has come; None: it is wanted.
 
--- a/starlingwheel/net/memory/work.py
+++ b/starlingwheel/net/memory/work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from ...decisions.terms import Effect, HandOff, WorkItem
@@ -28,6 +29,7 @@
     trace: bytes
     owed: bool = True
     may_have_run: bool = False  # an attempt that has ended may have
+    risky_since: float = inf  # when the first of those was sent
     errands: dict[HandOff, Errand] = field(default_factory=dict)
 
     @property
--- a/starlingwheel/net/module.py
+++ b/starlingwheel/net/module.py
@@ -92,7 +92,9 @@
             return
         job = errand.job
         del job.errands[errand.ho]
-        job.may_have_run = job.may_have_run or not fate.never_ran
+        if not fate.never_ran:
+            job.may_have_run = True
+            job.risky_since = min(job.risky_since, errand.sent)
         if answer is not None:
             if job.owed:
                 self._final(job, Final(200, answer), "finished")
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,11 +1,14 @@
 """The lease of the endpoint list by itself, and the gate that asks it in the last instant."""
 
+from math import inf
+
 import pytest
 from conftest import BUY, LOOK, FakeHost
 
 from starlingwheel.decisions import lease as module
 from starlingwheel.decisions.lease import EndpointLease, LeaseState
 from starlingwheel.decisions.terms import Fate, HandOff
+from starlingwheel.net.memory.work import Errand
 
 GRACE = 0.5
 NOTICE = module.MISSED_NOTICE
@@ -171,3 +174,25 @@
     around.reply(sock)
     assert around.status(client) == 200
     assert [line["what"] for line in around.logged("gate.violation")]
+
+
+@pytest.mark.parametrize("left, refused", [(0.3, False), (0.1, True), (-1.0, True)])
+def test_a_repeat_that_was_chosen_in_time_does_not_begin_after_its_window(around, left, refused):
+    client = around.ask("move")
+    sock = around.accept()
+    around.received(sock)
+    (job,) = around.node.module.jobs.values()
+    (first,) = job.errands.values()
+    at = around.node.loop.now()
+    around.node.gate.now = lambda: at  # however long the story takes
+    around.node.lease.expires_at = inf
+    repeat = Errand(first.upstream, first.carrier, at, inf, first.ho, job)
+    first.sent = at - job.wi.category.memory + left
+    assert (around.node.gate.refusal(first.carrier.entry, repeat) is not None) == refused
+    # The same once the first has ended in a way that may have run.
+    sent = first.sent
+    around.reply(sock, status=500)
+    around.until(lambda: job.may_have_run)
+    assert job.risky_since == sent
+    assert (around.node.gate.refusal(first.carrier.entry, repeat) is not None) == refused
+    client.close()
