--- a/review/1/case.py
+++ b/review/1/case.py
@@ -74,7 +74,7 @@
     """Play the case; return whether the rule was broken."""
     ports = [free_port() for _ in range(UPSTREAMS)]
     upstreams = [
-        bench.standin("upstream.py", "--name", f"u{i}", "--port", port, "--runs", bench.runs_path)
+        bench.standin("upstream.py", f"u{i}:{port}", "--runs", bench.runs_path)
         for i, port in enumerate(ports)
     ]
     entries = [{"id": f"u{i}", "addr": f"127.0.0.1:{port}"} for i, port in enumerate(ports)]
--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -26,9 +26,9 @@
     return line.rstrip(b"\r\n")
 
 
-async def read_head(reader: asyncio.StreamReader) -> Message:
-    """Read a start line and the headers. Raises `EndOfStreamError`."""
-    message = Message((await _line(reader)).decode("latin-1"))
+async def read_head(reader: asyncio.StreamReader, first: bytes = b"") -> Message:
+    """Read a start line, whose `first` bytes were read before, and headers. Raises `EndOfStreamError`."""
+    message = Message((first + await _line(reader)).decode("latin-1"))
     while line := await _line(reader):
         name, _, value = line.decode("latin-1").partition(":")
         message.headers[name.strip().lower()] = value.strip()
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -1,6 +1,9 @@
-"""A sound upstream: it runs each request whose last byte has come, and writes one line for each run.
+"""Sound upstreams that share what they know of keys, such as those of one pod.
 
-A keyed request that it has run in the last `--window` seconds is answered as before and does not run again.
+Each runs a request whose last byte has come, and writes one line for each run. A keyed request that one of
+them has run in the last `--window` seconds is answered as before and does not run again. The option
+`--twice-share` makes some answers come twice, the second time some milliseconds late, where nothing else waits
+on the connection.
 """
 
 from __future__ import annotations
@@ -10,27 +13,32 @@
 import contextlib
 import hashlib
 import json
+import random
 import time
+from functools import partial
 from pathlib import Path
 
 from http1 import EndOfStreamError, Message, encode, read_body, read_head
 
 
-class Upstream:
-    """The state of one upstream: what it has run, by idempotency key."""
+class Pod:
+    """The upstreams of this process, and what they have run, by idempotency key."""
 
     def __init__(self, arguments: argparse.Namespace) -> None:
         """Take the command line's arguments."""
         self.arguments = arguments
         self.runs = Path(arguments.runs).open("a", buffering=1)  # noqa: SIM115
+        self.rng = random.Random(arguments.seed)
+        self.held = dict.fromkeys((name.partition(":")[0] for name in arguments.upstreams), 0)
+        self.cores = {name: asyncio.Semaphore(arguments.cores) for name in self.held}
         self.by_key: dict[str, tuple[float, asyncio.Future[bytes]]] = {}
 
-    def note(self, event: str, message: Message) -> None:
+    def note(self, upstream: str, event: str, message: Message) -> None:
         """Write one line about a request."""
         digest = hashlib.sha256(message.body).hexdigest()[:16]
         entry = {
             "at": round(time.time(), 4),
-            "upstream": self.arguments.name,
+            "upstream": upstream,
             "event": event,
             "trace": message.headers.get("x-trace-id", ""),
             "key": message.headers.get("idempotency-key", ""),
@@ -41,56 +49,75 @@
         }
         self.runs.write(json.dumps(entry) + "\n")
 
-    async def run(self, message: Message) -> bytes:
+    async def run(self, upstream: str, message: Message) -> bytes:
         """Run a request, or wait for the run that it repeats; return the body of the answer."""
         key = message.headers.get("idempotency-key", "")
         now = time.time()
         if key in self.by_key and now < self.by_key[key][0] + self.arguments.window:
-            self.note("repeat", message)
+            self.note(upstream, "repeat", message)
             return await self.by_key[key][1]
         answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         if key:
             self.by_key[key] = now, answer
-        self.note("run", message)
-        await asyncio.sleep(self.arguments.work)
+        self.note(upstream, "run", message)
+        heavy = self.rng.random() < self.arguments.heavy_share
+        self.held[upstream] += 1
+        async with self.cores[upstream]:
+            await asyncio.sleep(self.arguments.work * (self.arguments.heavy_factor if heavy else 1.0))
+        self.held[upstream] -= 1
         digest = hashlib.sha256(message.body).hexdigest()[:16]
         trace = message.headers.get("x-trace-id", "")
         answer.set_result(f"{trace} {len(message.body)} {digest}".encode())
         return answer.result()
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, upstream: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection, one request at a time."""
-        with contextlib.suppress(EndOfStreamError, OSError):
+        with contextlib.suppress(EndOfStreamError, OSError, asyncio.IncompleteReadError):
+            first = asyncio.ensure_future(reader.readexactly(1))
             while True:
-                message = await read_head(reader)
+                message = await read_head(reader, await first)
                 await read_body(reader, message)
+                is_request = False
                 if message.start.split()[1].startswith(("/health", "/status/load")):
-                    status, body = "200 OK", b""
+                    held = self.held[upstream]
+                    queue = max(0, held - self.arguments.cores)
+                    status, body = "200 OK", f"TEXT inflight={held}, queue={queue}".encode()
                 elif not message.headers.get("x-trace-id"):
                     status, body = "404 Not Found", b""
                 else:
-                    status, body = "200 OK", await self.run(message)
-                writer.write(encode(f"HTTP/1.1 {status}", {"Content-Type": "text/plain"}, body))
+                    status, body, is_request = "200 OK", await self.run(upstream, message), True
+                answer = encode(f"HTTP/1.1 {status}", {"Content-Type": "text/plain"}, body)
+                writer.write(answer)
                 await writer.drain()
+                first = asyncio.ensure_future(reader.readexactly(1))
+                if is_request and self.rng.random() < self.arguments.twice_share:
+                    await asyncio.wait({first}, timeout=self.arguments.twice_after)
+                    if not first.done():
+                        self.note(upstream, "answered twice", message)
+                        writer.write(answer)
+                        await writer.drain()
         writer.close()
 
 
 async def main() -> None:
     """Serve until the process is ended."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--name", required=True)
-    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("upstreams", nargs="+", help="NAME:PORT")
     parser.add_argument("--runs", required=True, help="the file for one line a run")
     parser.add_argument("--work", type=float, default=0.05, help="seconds for each request")
+    parser.add_argument("--heavy-share", type=float, default=0.0, help="share of requests that are heavy")
+    parser.add_argument("--heavy-factor", type=float, default=1.0, help="work of a heavy one over the usual")
+    parser.add_argument("--cores", type=int, default=1000, help="requests that run at a time")
+    parser.add_argument("--twice-share", type=float, default=0.0, help="share of answers that come twice")
+    parser.add_argument("--twice-after", type=float, default=0.005, help="seconds to the second answer")
     parser.add_argument("--window", type=float, default=3.0, help="seconds for which repeats are dropped")
-    parser.add_argument("--backlog", type=int, default=128)
+    parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
-    upstream = Upstream(arguments)
-    server = await asyncio.start_server(
-        upstream.serve, "127.0.0.1", arguments.port, limit=1 << 20, backlog=arguments.backlog
-    )
-    async with server:
-        await server.serve_forever()
+    pod = Pod(arguments)
+    for upstream in arguments.upstreams:
+        name, _, port = upstream.partition(":")
+        await asyncio.start_server(partial(pod.serve, name), "127.0.0.1", int(port), limit=1 << 20)
+    await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
