--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,83 +1,86 @@
-"""An upstream falls silent while long requests are on their way: each request has to get a final answer."""
+"""Some answers come twice, the second time some milliseconds late: each client has to get its own answer."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-import os
-import signal
+import random
 import sys
-import time
 from pathlib import Path
 
-from bench import TROUBLE, Bench, Client, EndOfStreamError, NotRunError, endpoint_list, free_port, main
+from bench import TROUBLE, Bench, Client, EndOfStreamError, endpoint_list, free_port, main
 
-UPSTREAMS = 5
-SILENT = 1  # of the upstreams: 20%
-SILENT_FOR = 20.0  # seconds
-BODY = 6 * 2**20  # bytes
-REQUESTS = 30
-AT_ONCE = 6
-EXPIRES_MS = 2000
-SLACK = 0.5  # seconds after its time up to which a late answer only earns nothing
-PATIENCE = 1.5  # further seconds for which the client stays, to see whether an answer comes at all
+LOCAL, REMOTE = 2, 4  # upstreams in the sidecar's data centre, and in the other one
+ONE_WAY = 0.008  # seconds between the two
+CORES, WORK = 2, 0.045
+TWICE_SHARE, TWICE_AFTER = 0.02, 0.008
+CLIENTS, REQUESTS, PAUSE = 16, 9600, 0.05
 
 
 def settings() -> dict[str, object]:
-    """Return the settings: the classes, limits and rules of the first deployment's brief."""
-    lookup = {"name": "lookup", "effect": "free", "dueTime": 1000000, "expiry": 2000000, "payoff": 1.0}
-    enrol = {"name": "enrol", "effect": "single_shot", "dueTime": 800000, "expiry": 2000000, "payoff": 8.0}
-    caps = {"mostHandOffs": 3, "cancel": True, "mayDuplicate": True, "probing": False, "peers": False}
+    """Return the settings, by the lease service's brief."""
+    free = {"effect": "free", "payoff": 1.0, "dedupScope": "all", "window": 5000000}
+    view = {"name": "unit-view", "dueTime": 300000, "expiry": 1000000, **free}
+    status = {"name": "repair-status", "dueTime": 150000, "expiry": 400000, **free}
+    pay = {"name": "rent-pay", "dueTime": 250000, "expiry": 500000, **free, "effect": "single_shot"}
+    refund = {"name": "deposit-refund", "dueTime": 150000, "expiry": 600000, **free, "effect": "guarded"}
+    pay["payoff"], refund["payoff"], refund["window"] = 8.0, 5.0, 3000000
+    caps = {"mostHandOffs": 3, "cancel": True, "mayDuplicate": True, "probing": True, "peers": False}
     caps |= {"connectTimeout": 250000, "keepalive": 5000000, "streamsPerConn": 1}
     caps |= {"retryAfter": True, "maxRetryAfter": 1500000}
-    rules = {"mustAskIn": 10000000, "drainGrace": 500000, "coldShare": 0.31, "cold": 8200000}
+    rules = {"mustAskIn": 4000000, "drainGrace": 500000, "coldShare": 0.37, "cold": 8700000}
     rules |= {"fallMultiple": 3.0, "overloadFor": 3000000}
-    place = {"discovery": "ask", "locality": "a", "zones": ["a"], "replicasOfMe": 1, "slotNo": 0}
-    return {"categories": [lookup, enrol], "caps": caps, "rules": rules, **place}
+    charges = {"crossZone": 0.02, "handshake": 0.02, "probe": 0.03, "waste": 0.068, "lateFail": 0.031}
+    report = {"columns": ["busy_reqs", "pending"], "how": "on_probe"}
+    place = {"discovery": "ask", "locality": "seoul-a", "zones": ["seoul-a", "busan-b"]}
+    place |= {"replicasOfMe": 1, "slotNo": 0}
+    categories = [view, status, pay, refund]
+    parts = {"caps": caps, "rules": rules, "charges": charges, "loadReport": report}
+    return {"categories": categories, **parts, **place}
 
 
-async def request(bench: Bench, address: str, trace: str) -> bool:
-    """Send one long request; return whether it was answered in time, or not taken at all."""
-    async with Client(address) as client:
-        head = (
-            "POST /enrol HTTP/1.1\r\nHost: backend.local\r\nX-Qos: enrol\r\n"
-            f"X-Trace-Id: {trace}\r\nX-Expires-In-Ms: {EXPIRES_MS}\r\nContent-Length: {BODY}\r\n\r\n"
-        )
-        client.writer.transport.set_write_buffer_limits(high=0)
-        client.writer.write(head.encode())
-        body = os.urandom(2**16)
-        began = time.time()
+async def client(bench: Bench, address: str, number: int, wrong: list[str], counts: dict[str, int]) -> None:
+    """Send requests one after another; note each answer that was not made for its request."""
+    rng = random.Random(number)
+    connection: Client | None = None
+    for index in range(REQUESTS // CLIENTS):
+        await asyncio.sleep(rng.expovariate(1 / PAUSE))
+        trace = f"c{number}-{index}"
         try:
-            for _ in range(BODY // len(body)):
-                client.writer.write(body)
-                await asyncio.wait_for(client.writer.drain(), 4)  # until the system has taken every byte
-        except TimeoutError:
-            bench.record(f"{trace}: its last byte could not be written, so it was not taken")
-            return True
-        written = time.time()
-        limit = EXPIRES_MS / 1000 + SLACK
-        sent = f"{trace}: {BODY} bytes sent, the last {written - began:.3f} s after the first"
-        try:
-            answer = await asyncio.wait_for(client.answer(), limit + PATIENCE)
-        except TimeoutError:
-            bench.record(f"{sent}; NO ANSWER {time.time() - written:.3f} s after the last byte")
-            return False
-        except (EndOfStreamError, OSError) as error:
-            bench.record(f"{sent}; the connection ended without an answer: {error!r}")
-            return False
-        took = time.time() - written
-        bench.record(f"{sent}; {answer.start.split()[1]} {took:.3f} s after it")
-        return took <= limit
+            if connection is None:
+                connection = await Client(address).__aenter__()
+            told = {"X_Qos": "unit-view", "X_Trace_Id": trace, "X_Expires_In_Ms": "1000"}
+            answer = await asyncio.wait_for(connection.get("/unit-view", **told), 3)
+        except (EndOfStreamError, OSError, TimeoutError) as error:
+            bench.record(f"{trace}: {error!r}")
+            connection = None
+            continue
+        status = answer.start.split()[1]
+        counts[status] = counts.get(status, 0) + 1
+        if status == "200" and answer.body.split(b" ")[0].decode() != trace:
+            wrong.append(trace)
+            bench.record(f"{trace} GOT THE ANSWER {answer.body.decode()!r}")
+        if answer.headers.get("connection", "").lower() == "close":
+            await connection.__aexit__()
+            connection = None
+    if connection is not None:
+        await connection.__aexit__()
 
 
 async def story(bench: Bench) -> bool:
     """Play the case; return whether the rule was broken."""
-    ports = [free_port() for _ in range(UPSTREAMS)]
-    upstreams = [
-        bench.standin("upstream.py", f"u{i}:{port}", "--runs", bench.runs_path)
-        for i, port in enumerate(ports)
+    options = ["--runs", bench.runs_path, "--work", WORK, "--cores", CORES]
+    if TROUBLE:
+        options += ["--twice-share", TWICE_SHARE, "--twice-after", TWICE_AFTER]
+    ports = [free_port() for _ in range(LOCAL + REMOTE)]
+    ways = [free_port() for _ in range(REMOTE)]
+    bench.standin("upstream.py", *(f"u{i}:{port}" for i, port in enumerate(ports)), *options)
+    remote = [f"{way}:{port}" for way, port in zip(ways, ports[LOCAL:], strict=True)]
+    bench.standin("network.py", *remote, "--delay", ONE_WAY)
+    entries = [
+        {"id": f"u{i}", "addr": f"127.0.0.1:{port}", "zone": "seoul-a" if i < LOCAL else "busan-b"}
+        for i, port in enumerate(ports[:LOCAL] + ways)
     ]
-    entries = [{"id": f"u{i}", "addr": f"127.0.0.1:{port}"} for i, port in enumerate(ports)]
     listing = bench.folder / "list.json"
     listing.write_text(json.dumps(endpoint_list(entries)))
     discovery, address = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
@@ -87,24 +90,14 @@
     config |= {"limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}}
     bench.sidecar(config | {"known": endpoint_list(entries), "settings": settings()})
     await bench.ready(address)
-    if not await request(bench, address, "before"):
-        raise NotRunError("no answer before the disruption")
-    if TROUBLE:
-        for upstream in upstreams[:SILENT]:
-            upstream.send_signal(signal.SIGSTOP)
-            bench.record(f"u{upstreams.index(upstream)} falls silent")
-    silent_at, results = time.time(), []
-    for first in range(0, REQUESTS, AT_ONCE):
-        traces = [f"r{number}" for number in range(first, first + AT_ONCE)]
-        results += await asyncio.gather(*(request(bench, address, trace) for trace in traces))
-        if not all(results) or time.time() > silent_at + SILENT_FOR - EXPIRES_MS / 1000:
-            break
-    for upstream in upstreams[:SILENT]:
-        upstream.send_signal(signal.SIGCONT)
-    for run in bench.runs():
-        bench.record(f"{run['upstream']} ran {run['trace']}: {run['bytes']} bytes")
-    bench.record(f"{results.count(False)} of {len(results)} requests lost")
-    return not all(results)
+    wrong: list[str] = []
+    counts: dict[str, int] = {}
+    await asyncio.gather(*(client(bench, address, number, wrong, counts) for number in range(CLIENTS)))
+    runs = bench.runs()
+    twice = sum(run["event"] == "answered twice" for run in runs)
+    bench.record(f"answers by status: {counts}; runs {len(runs) - twice}; answers that came twice: {twice}")
+    bench.record(f"{len(wrong)} clients got an answer that was made for another request")
+    return bool(wrong)
 
 
 if __name__ == "__main__":
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -2,8 +2,8 @@
 
 Each runs a request whose last byte has come, and writes one line for each run. A keyed request that one of
 them has run in the last `--window` seconds is answered as before and does not run again. The option
-`--twice-share` makes some answers come twice, the second time some milliseconds late, where nothing else waits
-on the connection.
+`--twice-share` makes some answers come twice, the second time some milliseconds late, where nothing else
+waits on the connection.
 """
 
 from __future__ import annotations
