--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 LOCAL, REMOTE = 2, 4  # upstreams in the sidecar's data centre, and in the other one
 ONE_WAY = 0.008  # seconds between the two
 CORES, WORK = 2, 0.045
-TWICE_SHARE, TWICE_AFTER = 0.02, 0.008
+TWICE_SHARE, TWICE_AFTER = 0.02, 0.005
 CLIENTS, REQUESTS, PAUSE = 16, 9600, 0.05
 
 
