--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -14,7 +15,7 @@
 
 UPSTREAMS = 5
 SILENT = 1  # of the upstreams: 20%
-SILENT_FOR = 20.0  # seconds
+SILENT_FOR = 6.0  # seconds
 BODY = 6 * 2**20  # bytes
 REQUESTS = 30
 AT_ONCE = 6
@@ -70,6 +71,15 @@
         return took <= limit
 
 
+async def wake(bench: Bench, silent: list[subprocess.Popen[bytes]]) -> None:
+    """End the silence."""
+    if silent:
+        await asyncio.sleep(SILENT_FOR)
+        for upstream in silent:
+            upstream.send_signal(signal.SIGCONT)
+        bench.record(f"the silence ends after {SILENT_FOR} s")
+
+
 async def story(bench: Bench) -> bool:
     """Play the case; return whether the rule was broken."""
     ports = [free_port() for _ in range(UPSTREAMS)]
@@ -89,18 +99,19 @@
     await bench.ready(address)
     if not await request(bench, address, "before"):
         raise NotRunError("no answer before the disruption")
-    if TROUBLE:
-        for upstream in upstreams[:SILENT]:
-            upstream.send_signal(signal.SIGSTOP)
-            bench.record(f"u{upstreams.index(upstream)} falls silent")
-    silent_at, results = time.time(), []
+    silent = upstreams[:SILENT] if TROUBLE else []
+    for upstream in silent:
+        upstream.send_signal(signal.SIGSTOP)
+        bench.record(f"u{upstreams.index(upstream)} falls silent")
+    waking = asyncio.ensure_future(wake(bench, silent))
+    sent_until, results = time.time() + SILENT_FOR - EXPIRES_MS / 1000 - SLACK - PATIENCE, []
     for first in range(0, REQUESTS, AT_ONCE):
         traces = [f"r{number}" for number in range(first, first + AT_ONCE)]
         results += await asyncio.gather(*(request(bench, address, trace) for trace in traces))
-        if not all(results) or time.time() > silent_at + SILENT_FOR - EXPIRES_MS / 1000:
+        if not all(results) or time.time() > sent_until:
             break
-    for upstream in upstreams[:SILENT]:
-        upstream.send_signal(signal.SIGCONT)
+    await waking
+    await asyncio.sleep(0.5)
     bench.record_runs()
     bench.record(f"{results.count(False)} of {len(results)} requests lost")
     return not all(results)
