Review case, from an entry: an attempt without its body reaches an upstream

Cause: attempts of one request share a body stream; where the first attempt's connection is late, the hedge takes the whole body and the late one sends the head with an empty chunked body.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,12 +1,13 @@
-"""A few clients send long bodies in chunks of one byte, while the usual clients go on."""
+"""Connections to upstreams come up a second late, and clients send keyed requests with chunked bodies."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import os
 import random
-import subprocess
+import socket
 import sys
 import time
 from pathlib import Path
@@ -16,59 +17,86 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HERE = Path(__file__).resolve().parent
 SERVERS = 8
-RATE = 40.0  # usual requests a second
-SECONDS = 30.0  # of load
-BAD_FROM, BAD_FOR = 5.0, 15.0  # seconds
-BAD_CLIENTS = 8
-BAD_BODY = 60_000_000  # bytes, chunked
-EXPIRY = 2.0  # seconds, of both classes
-TRY_SHARE = (0.5, 0.8)
-SLACK = 0.5 + 0.05  # seconds after its time in which an answer is not lost
-METHODS = {"lookup": "GET", "enrol": "POST"}
-Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-
-
-async def bad_client(address: str, number: int, until: float) -> int:
-    """Send a body of 60 MB in chunks of one byte at full speed, again as soon as it is turned away."""
-    host, _, port = address.rpartition(":")
-    chunks = b"1\r\nx\r\n" * 10_000
-    turns = 0
-    while time.monotonic() < until:
-        turns += 1
-        head = (
-            "POST /enrol/1 HTTP/1.1\r\nHost: backend.local\r\nX-Qos: enrol\r\nX-Expires-In-Ms: 1500\r\n"
-            f"X-Trace-Id: bad-{os.getpid()}-{number}-{turns}\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
-        try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-        except OSError:
-            await asyncio.sleep(0.05)
-            continue
-        answer = asyncio.create_task(reader.read(4096))
-        try:
-            writer.write(head.encode())
-            sent = 0
-            while sent < BAD_BODY and not answer.done() and time.monotonic() < until:
-                writer.write(chunks)
-                sent += 10_000
-                drained = asyncio.create_task(writer.drain())
-                await asyncio.wait([drained, answer], return_when=asyncio.FIRST_COMPLETED)
-                if not drained.done():
-                    drained.cancel()
-            await asyncio.wait([answer], timeout=max(0.0, until - time.monotonic()))
-        except OSError:
-            pass
-        finally:
-            answer.cancel()
-            writer.transport.abort()
-    return turns
-
-
-async def bad_clients(address: str) -> None:
-    """Play all bad clients, in a process of their own."""
-    until = time.monotonic() + BAD_FOR
-    turns = await asyncio.gather(*(bad_client(address, number, until) for number in range(BAD_CLIENTS)))
-    print(sum(turns))
+RATE = 10.0  # requests a second
+LEARN = 15.0  # seconds of load before connections come up late
+SECONDS = 50.0  # of load
+FULL, OPEN = 0.5, 1.0  # seconds for which an upstream takes no new connection, and then takes all
+DUE, EXPIRY, WINDOW = 4.5, 6.0, 4.0  # seconds
+CONNECT_TIMEOUT = 1.5  # seconds
+WORK = (0.2, 0.6)  # seconds
+BODY = 70_000  # bytes
+BACKLOG = 8
+
+
+class Upstream:
+    """An upstream that runs whole requests, and at times takes connections late."""
+
+    def __init__(self, case: Case, number: int) -> None:
+        """Listen, with a short queue."""
+        self.case, self.name = case, f"s-{number}"
+        self.socket = socket.socket()
+        self.socket.bind((f"127.20.0.{number + 1}", 0))
+        self.socket.listen(BACKLOG)
+        self.socket.setblocking(False)
+        host, port = self.socket.getsockname()
+        self.address = f"{host}:{port}"
+
+    def begin(self) -> None:
+        """Accept connections from now on."""
+        asyncio.get_running_loop().add_reader(self.socket.fileno(), self.accept)
+
+    def pause(self) -> None:
+        """Leave connections in the system's queue."""
+        asyncio.get_running_loop().remove_reader(self.socket.fileno())
+
+    def accept(self) -> None:
+        """Accept a connection."""
+        with contextlib.suppress(BlockingIOError):
+            sock, _ = self.socket.accept()
+            sock.setblocking(False)
+            task = asyncio.create_task(self.serve(sock))
+            self.case.tasks.add(task)
+            task.add_done_callback(self.case.tasks.discard)
+
+    async def hold_up(self) -> None:
+        """Fill the queue, so that the system drops new connections, and then make room; again and again."""
+        await asyncio.sleep(self.case.rng.uniform(0, FULL + OPEN))
+        while True:
+            self.pause()
+            fillers = []
+            for _ in range(BACKLOG + 3):
+                sock = socket.socket()
+                sock.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    sock.connect(self.socket.getsockname())
+                fillers.append(sock)
+            await asyncio.sleep(FULL)
+            for sock in fillers:
+                sock.close()
+            self.begin()
+            await asyncio.sleep(OPEN)
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Serve one request and close the connection."""
+        reader, writer = await asyncio.open_connection(sock=sock, limit=1 << 20)
+        case = self.case
+        with contextlib.suppress(OSError, EOFError, ValueError):
+            line, headers = await s.read_head(reader)
+            body = await s.read_body(reader, headers)
+            trace = headers["x-trace-id"]
+            status, answer = 200, f"made for {trace}".encode()
+            as_sent = body == case.bodies.get(trace)
+            case.record("reached", id=trace, upstream=self.name, bytes=len(body), as_sent=as_sent)
+            if as_sent:
+                await asyncio.sleep(case.rng.uniform(*WORK))
+            else:
+                # "A request with an id that no client sent in this form is answered 400".
+                case.altered += 1
+                status = 400
+            head = f"HTTP/1.1 {status} x\r\nContent-Length: {len(answer)}\r\nConnection: close\r\n\r\n"
+            writer.write(head.encode() + answer)
+            await writer.drain()
+        writer.close()
 
 
 class Case:
@@ -78,95 +106,50 @@
         """Prepare."""
         self.record = s.Record(HERE / "record.txt")
         self.rng = random.Random(4)
-        self.results: list[tuple[str, float, float, int]] = []  # id, time left, time taken, status (0: none)
-        self.idle: list[Connection] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.bodies: dict[str, bytes] = {}
+        self.altered = 0
+        self.statuses: dict[str, int] = {}
         self.numbers = itertools.count()
 
-    async def answer(self, line: str, headers: s.Headers, body: bytes) -> s.Answer:
-        """Serve a request as an upstream does."""
-        trace = headers.get("x-trace-id", "")
-        self.record("run", id=trace)
-        await asyncio.sleep(self.rng.uniform(0.087, 0.16))
-        return 200, {}, f"made for {trace}".encode()
-
-    async def client(self, name: str, time_left: float) -> None:
-        """Send one request and wait for its answer until it is lost."""
-        method = METHODS[name]
+    async def client(self) -> None:
+        """Send one request and read its answer."""
         trace = f"t{next(self.numbers):06d}"
-        body = b"" if method == "GET" else b"x" * 100
-        more = f"Content-Length: {len(body)}\r\n" if body else ""
+        body = trace.encode() * (BODY // len(trace))
+        self.bodies[trace] = body
         head = (
-            f"{method} /{name}/1 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: {trace}\r\n"
-            f"X-Qos: {name}\r\nX-Expires-In-Ms: {int(time_left * 1000)}\r\n{more}\r\n"
+            "POST /order/1 HTTP/1.1\r\nHost: backend.local\r\nX-Qos: order\r\n"
+            f"X-Trace-Id: {trace}\r\nIdempotency-Key: k-{trace}\r\nX-Expires-In-Ms: {int(EXPIRY * 1000)}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
         )
-        sent = time.monotonic()
-        status = 0
-        try:
-            async with asyncio.timeout(time_left + SLACK + 5.0):
-                while status == 0:
-                    connection, reused = await self.connect()
-                    sent = time.monotonic()
-                    status = await self.exchange(connection, head.encode() + body, trace, reused)
-        except (TimeoutError, OSError, EOFError) as error:
-            self.record("no answer", id=trace, error=repr(error))
-        took = time.monotonic() - sent
-        self.results.append((trace, time_left, took, status))
-        self.record("answered", id=trace, time_left=time_left, took=round(took, 3), status=status)
-
-    async def connect(self) -> tuple[Connection, bool]:
-        """Return an idle connection or a new one, and whether it has been used before."""
-        while self.idle:
-            connection = self.idle.pop()
-            if not connection[0].at_eof():
-                return connection, True
-            connection[1].close()
+        status = "none"
         host, _, port = self.listen.rpartition(":")
-        return await asyncio.open_connection(host, int(port)), False
-
-    async def exchange(self, connection: Connection, request: bytes, trace: str, reused: bool) -> int:
-        """Return the status of the answer, -1 for a foreign answer.
-
-        Return 0 if a used connection was closed just then: the request is sent once more on a new one.
-        """
-        reader, writer = connection
-        writer.write(request)
-        try:
-            line, headers = await s.read_head(reader)
-        except asyncio.IncompleteReadError as error:
-            if reused and not error.partial:
-                self.idle.clear()
-                return 0
-            raise
-        answer = await s.read_body(reader, headers)
-        if headers.get("connection") == "close":
-            writer.close()
-        else:
-            self.idle.append(connection)
-        foreign = " 200 " in line + " " and answer != f"made for {trace}".encode()
-        return -1 if foreign else int(line.split()[1])
-
-    async def load(self) -> None:
-        """Send the usual requests at an even rate."""
-        tasks = set()
-        start = due = time.monotonic()
-        while due < start + SECONDS:
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            name = self.rng.choice(list(METHODS))
-            task = asyncio.create_task(self.client(name, round(EXPIRY * self.rng.uniform(*TRY_SHARE), 3)))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            due += 1 / RATE
-        await asyncio.gather(*tasks)
+        with contextlib.suppress(OSError, EOFError, TimeoutError):
+            async with asyncio.timeout(EXPIRY + 1.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                chunk = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+                writer.write(head.encode() + chunk)
+                line, headers = await s.read_head(reader)
+                answer = await s.read_body(reader, headers)
+                writer.close()
+                status = line.split()[1]
+                if status == "200" and answer != f"made for {trace}".encode():
+                    status = "foreign"
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        self.record("answered", id=trace, status=status)
 
     async def play(self, folder: Path) -> int:
         """Play the case and return the exit code."""
         discovery = s.Discovery("127.21.0.1", self.record)
-        for number in range(SERVERS):
-            upstream = s.Upstream(f"127.20.0.{number + 1}", self.answer)
-            await upstream.start()
-            discovery.entries[f"s-{number}"] = s.server_entry(f"s-{number}", upstream.address)
+        upstreams = [Upstream(self, number) for number in range(SERVERS)]
+        for upstream in upstreams:
+            discovery.entries[upstream.name] = s.server_entry(upstream.name, upstream.address)
+        for upstream in upstreams:
+            upstream.begin()
+        background: list[asyncio.Task[None]] = []
         await discovery.start()
         self.listen = f"127.22.0.1:{s.free_port('127.22.0.1')}"
+        keyed = {**s.request_class("order", "guarded", DUE, EXPIRY, 1.0), "window": int(WINDOW * 1e6)}
         config = {
             "name": "n0",
             "listen": self.listen,
@@ -174,54 +157,38 @@
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": discovery.whole_list(),
-            "settings": s.settings(
-                [
-                    s.request_class("lookup", "free", 1.0, EXPIRY, 1.0),
-                    s.request_class("enrol", "single_shot", 0.8, EXPIRY, 8.0),
-                ]
-            ),
+            "settings": s.settings([keyed], caps={"connectTimeout": int(CONNECT_TIMEOUT * 1e6)}),
         }
         sidecar = s.Sidecar(config, folder, {})
-        others: subprocess.Popen[bytes] | None = None
         try:
             sidecar.start()
             await sidecar.ready()
-            load = asyncio.create_task(self.load())
-            await asyncio.sleep(BAD_FROM)
-            if TROUBLE:
-                self.record("bad clients begin", clients=BAD_CLIENTS)
-                others = subprocess.Popen(
-                    [sys.executable, "-B", __file__, self.listen], stdout=subprocess.PIPE
-                )
-            await load
-            if sidecar.process is not None and sidecar.process.poll() is not None:
-                self.record("the sidecar has ended", code=sidecar.process.returncode)
-                return 1
+            start = due = time.monotonic()
+            clients = set()
+            while due < start + SECONDS:
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                clients.add(asyncio.create_task(self.client()))
+                due += 1 / RATE
+                if TROUBLE and not background and due > start + LEARN:
+                    self.record("connections come up late from now on")
+                    background += [asyncio.create_task(upstream.hold_up()) for upstream in upstreams]
+            await asyncio.gather(*clients)
         finally:
-            if others is not None:
-                others.kill()
-                others.wait()
             sidecar.end()
+            for task in background:
+                task.cancel()
             await discovery.stop()
         return self.judge()
 
     def judge(self) -> int:
-        """Return 1 if a request of the usual clients was lost."""
-        lost = [r for r in self.results if r[3] <= 0 or r[2] > r[1] + SLACK]
-        slowest = max(r[2] for r in self.results)
-        served = sum(r[3] == 200 for r in self.results)
-        self.record(
-            "verdict", requests=len(self.results), served=served, slowest=round(slowest, 3), lost=len(lost)
-        )
-        print(f"requests {len(self.results)}, served {served}, slowest {slowest:.3f} s, lost {len(lost)}")
-        return 1 if lost else 0
+        """Return 1 if an upstream got another body than the client sent."""
+        self.record("verdict", statuses=self.statuses, altered=self.altered)
+        print(f"answers {self.statuses}, requests that no client sent {self.altered}")
+        return 1 if self.altered else 0
 
 
 def main() -> int:
-    """Play the case in a temporary folder, or the bad clients alone."""
-    if len(sys.argv) > 1:
-        asyncio.run(bad_clients(sys.argv[1]))
-        return 0
+    """Play the case in a temporary folder."""
     with s.temporary_folder() as folder:
         try:
             return asyncio.run(Case().play(Path(folder)))
