After SIGTERM every request has its final response before SIGKILL may come

Cause: nothing tied a deadline to the stop. A request's time counts from its last byte, nothing bounded when that comes, and ShutdownController waits for clients without an end. Evidence: in the trace such a request reaches its endpoint and has 1 to 1.6 s of its own left when the process is killed; the log has `stop` and no `end`.

What no endpoint can answer in time any more, by the response times seen, is rejected while it is known not to have run. It works as every path to a final response passes the request's deadline, whatever comes or does not come from the client.

--- a/starlingwheel/decisions/dispatch.py
+++ b/starlingwheel/decisions/dispatch.py
@@ -139,7 +139,19 @@
 
     def _update_give_up_time(self) -> None:
         """Determine the time again at which the request is given up: it moves while a long body arrives."""
-        self.give_up_at = self.dispatcher.admission.give_up_at(self.request, self.objective)
+        give_up_at = self.dispatcher.admission.give_up_at(self.request, self.objective)
+        self.give_up_at = min(give_up_at, self._latest_start())
+
+    def _latest_start(self) -> float:
+        """Return until when an endpoint may still get the end of the request, if the process is stopping.
+
+        Shortly before the process ends, a request that can't be answered any more is rejected while it is
+        known not to have run.
+        """
+        request = self.request
+        if request.answer_by == inf or (self._is_pending() and not request.body_incomplete):
+            return inf
+        return request.answer_by - min(self.dispatcher.hedging.response_time(request), self.objective.seconds)
 
     def _first_step(self) -> NextStep:
         """Return ATTEMPT, unless the attempts of a lost sidecar rule out a further attempt."""
@@ -177,6 +189,7 @@
         stats = yield from self._select()
         if stats is None or isinstance(stats, ClientDisconnected):
             return stats
+        self._update_give_up_time()
         now = self.clock.now
         if now >= self.give_up_at or not self.dispatcher.lease.allows(now):
             return None
--- a/starlingwheel/decisions/hedging.py
+++ b/starlingwheel/decisions/hedging.py
@@ -28,10 +28,13 @@
         self.clock, self.latency, self.load = clock, latency, load
         self.retry_policy = retry_policy
 
+    def response_time(self, request: Request) -> float:
+        """Return the time in seconds within which nearly all responses come, as far as it is known."""
+        return self.latency.percentile(request.request_class, HEDGE_DELAY_PERCENTILE)
+
     def delay(self, request: Request) -> float:
         """Return the delay in seconds after the start of an attempt at which its hedge is due."""
-        learned = self.latency.relative_times.percentile(HEDGE_DELAY_PERCENTILE)
-        learned *= self.latency.typical(request.request_class)
+        learned = self.response_time(request)
         if self.latency.relative_times.total >= MIN_SAMPLES:
             return learned
         return INITIAL_DELAY * request.request_class.latency_objective
--- a/starlingwheel/decisions/latency.py
+++ b/starlingwheel/decisions/latency.py
@@ -49,6 +49,14 @@
         times = times.age(self.clock.now, self.clock.halving_interval, MIN_SAMPLES_PER_CLASS)
         return times.mean(prior=request_class.latency_objective / 8, prior_weight=PRIOR_CLASS_SAMPLES)
 
+    def percentile(self, request_class: RequestClass, share: float) -> float:
+        """Return the time in seconds within which a fraction `share` of responses to a class come.
+
+        Without any response it is the typical time.
+        """
+        relative = self.relative_times.percentile(share) if self.relative_times.total else 1.0
+        return relative * self.typical(request_class)
+
     def expected(self, stats: EndpointStats, request: Request, load: float) -> float:
         """Return the expected response time of a request at an endpoint with that load, in seconds."""
         typical = self.typical(request.request_class)
--- a/starlingwheel/decisions/model.py
+++ b/starlingwheel/decisions/model.py
@@ -70,11 +70,12 @@
     preferred_cell: int | None = None  # the cell that all sidecars choose for its key
     max_attempts: int = 0  # 0: set from the configuration when the request is accepted
     earlier_attempts: Sequence[Attempt] = ()  # made by a sidecar that was lost
+    answer_by: float = inf  # no final answer can be given after this time, as the process has been stopped
 
     @property
     def deadline(self) -> float:
         """The time by which the final answer is due; it moves while a long body arrives."""
-        return min(self.arrived_at, self.earliest_arrival) + self.time_left
+        return min(min(self.arrived_at, self.earliest_arrival) + self.time_left, self.answer_by)
 
     @property
     def body_incomplete(self) -> bool:
--- a/starlingwheel/decisions/scheduler.py
+++ b/starlingwheel/decisions/scheduler.py
@@ -10,6 +10,7 @@
 import random
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
+from math import inf
 from typing import Any, Protocol
 
 from .balancer import Balancer
@@ -92,6 +93,7 @@
         self.host = host
         self.now = now
         self.balancer = Balancer(config, rng, now, lease)
+        self.answer_by = inf  # no final answer can be given after this time, as the process has been stopped
         self._by_request: dict[Request, ScheduledCoroutine] = {}
         # A heap of: time, order of setting, coroutine, its number of resumptions at the time of setting.
         self._alarms: list[tuple[float, int, ScheduledCoroutine, int]] = []
@@ -130,6 +132,7 @@
         `earlier_attempts`: attempts of a lost sidecar: endpoint, start time, whether it may have run.
         """
         request.max_attempts = request.max_attempts or self.balancer.config.max_attempts
+        request.answer_by = self.answer_by
         if earlier_attempts:
             request.earlier_attempts = [
                 self._earlier_attempt(request, *earlier) for earlier in earlier_attempts
@@ -207,6 +210,13 @@
         """Set the fraction of endpoint draws that each zone takes part in; see `Balancer.set_zone_shares`."""
         self.balancer.set_zone_shares(shares, returned)
 
+    def begin_shutdown(self, answer_by: float) -> None:
+        """Have every request, of those in progress and those still to come, answered by that time."""
+        self.answer_by = answer_by
+        for request in list(self._by_request):
+            request.answer_by = answer_by
+            self._resume_request(request, None)
+
     # Running.
 
     def _resume_request(self, request: Request, event: object) -> None:
--- a/starlingwheel/net/context.py
+++ b/starlingwheel/net/context.py
@@ -132,6 +132,8 @@
         self.unsolicited_responses_until = -inf  # until then unsolicited responses may arrive at any time
         self.repeated_responses = RepeatedResponses()
         self.stopping = False
+        self.stop_requested_at: float | None = None  # a lower bound; None: no signal has stopped the process
+        self.answer_by = inf  # a stopped process gives no final response after this time
         self.rng = random.Random(config.seed)
 
     # Processes of one sidecar.
@@ -182,6 +184,17 @@
         self.shortest_objective = min(c.latency_objective for c in classes)
         self.longest_timeout = max(c.timeout for c in [*classes, *former])
 
+    def shortest_maximum_timeout(self) -> float:
+        """Return the longest timeout in the configuration, or in a former one if it is shorter there.
+
+        A former configuration counts for as long as its request classes are kept.
+        """
+        longest = {inf: max(c.timeout for c in self.balancer_config.request_classes)}
+        for end, request_class in self.former_request_classes:
+            if end > self.loop.now():
+                longest[end] = max(longest.get(end, 0.0), request_class.timeout)
+        return min(longest.values())
+
     def request_class_for(self, name: str, retry_safety: RetrySafety) -> RequestClass | None:
         """Return the request class of that name and retry safety, or else the current class of that name.
 
--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -27,6 +27,7 @@
     GossipReceived,
     RequestBodyComplete,
     RequestReceived,
+    ShutdownStarted,
     StartExchange,
 )
 from .state.requests import Exchange, PendingRequest, UpstreamResponse
@@ -105,6 +106,8 @@
                 self.scheduler.reload(balancer_config)
             case GossipReceived(peer, body):
                 self.scheduler.gossip_received(peer, body)
+            case ShutdownStarted(answer_by):
+                self.scheduler.begin_shutdown(answer_by)
 
     def _timer_due(self) -> None:
         if self.restart_at <= self.scheduler.now:
--- a/starlingwheel/net/fleet/coordinator.py
+++ b/starlingwheel/net/fleet/coordinator.py
@@ -32,7 +32,7 @@
 )
 from ..context import SidecarContext
 from ..coordinator import RequestCoordinator
-from ..messages import ClientDisconnected, FinalResponse, RequestReceived
+from ..messages import ClientDisconnected, FinalResponse, RequestReceived, ShutdownStarted
 from ..state.body_stream import BodyStream
 from ..state.buffers import BufferedBody
 from ..state.requests import Exchange, PendingRequest, UpstreamResponse
@@ -110,6 +110,9 @@
                     request := self.replicated.get(pending.request)
                 ) is not None:
                     self._replicated_client_disconnected(pending, request)
+                case ShutdownStarted(answer_by):
+                    super()._handle(message)
+                    self._limit_waits(answer_by)
                 case None:
                     self.tick()
                     super()._handle(message)
@@ -172,6 +175,7 @@
             return
         frame = self._replicate_frame(pending, key)
         wait_until = self.scheduler.now + CLIENT_WAIT_FRACTION * pending.request.time_left
+        wait_until = min(wait_until, self.scheduler.answer_by)
         result, request = self.replicator.begin(frame, pending, wait_until)
         match result:
             case BeginResult.RUN:
@@ -215,6 +219,13 @@
         self.pending_requests[pending.request] = pending
         self.scheduler.accept_request(pending.request)
 
+    def _limit_waits(self, answer_by: float) -> None:
+        """Let no client wait for another member's response after that time."""
+        for request in list(dict.fromkeys(self.replicated.values())):
+            for client, until in list(request.waiting_clients.items()):
+                if until > answer_by:
+                    self.replicator.wait_on(request, client, answer_by)
+
     def _replicated_client_disconnected(self, pending: PendingRequest, request: ReplicatedRequest) -> None:
         forgotten = self.replicator.client_disconnected(request, pending)
         if not forgotten and pending.request in self.pending_requests and pending.awaits_response:
--- a/starlingwheel/net/http/client_connection.py
+++ b/starlingwheel/net/http/client_connection.py
@@ -44,6 +44,8 @@
 LINGERING_CLOSE_TIMEOUT = IDLE_TIMEOUT / 4  # seconds that a client has to close after its last response
 # How often a wait for the rest of a body is interrupted to see whether any has arrived, in request timeouts.
 ARRIVAL_CHECK_FRACTION = 1 / 4
+# Retry-After for a request that was incomplete when the process ended, in shortest latency objectives.
+STOP_RETRY_AFTER_FRACTION = 1 / 4
 # Bytes read from a client that keeps sending after its last response.
 MAX_DISCARDED_INPUT = 4 * MAX_BUFFERED_BODY
 
@@ -122,6 +124,8 @@
                 status = final.status
         except InvalidRequestError as error:
             status = error.status
+            if error.retry_after:
+                final = FinalResponse(status, retry_after=error.retry_after)
             self.context.log("request.unfit", status=status, reason=error.log_text)
         except BuffersExhaustedError:
             status = 503
@@ -212,7 +216,7 @@
             if self.reason_when_idle and self.request_started_at is None and self.stream.has_no_input():
                 self.reason = self.reason_when_idle
                 return False
-            message = yield self._read_deadline()
+            message = yield min(self._read_deadline(), self.context.answer_by)
             if message is None:
                 self._read_timed_out()
                 continue
@@ -228,10 +232,14 @@
             return True
 
     def _read_timed_out(self) -> None:
-        """End a connection that is idle at its read deadline.
+        """End a connection that is idle at its read deadline, or at the end of a shutdown.
 
         Raises `InvalidRequestError` for a request that is still incomplete.
         """
+        if self.request_started_at is not None and self.loop.now() >= self.context.answer_by:
+            retry_after = self.context.shortest_objective * STOP_RETRY_AFTER_FRACTION
+            retry_after = min(self.context.balancer_config.max_retry_after, retry_after)
+            raise InvalidRequestError(503, InvalidRequestReason.STOPPING, retry_after=retry_after)
         if self.request_started_at is not None:
             raise InvalidRequestError(408, InvalidRequestReason.INCOMPLETE)
         self.reason_when_idle = self.reason_when_idle or CloseReason.IDLE
--- a/starlingwheel/net/http/errors.py
+++ b/starlingwheel/net/http/errors.py
@@ -85,6 +85,7 @@
     PATH_DIFFERS = "path and x-qos differ"
     WRONG_METHOD = "the method does not fit the category"
     NO_IDEMPOTENCY_KEY = "idempotency-key is missing"
+    STOPPING = "stopping"  # it was incomplete when the process had to give its last responses
 
 
 class HttpError(Exception):
@@ -103,10 +104,15 @@
 class InvalidRequestError(HttpError):
     """A request that is answered with an error and not forwarded."""
 
-    def __init__(self, status: int, reason: InvalidRequestReason, header: str = "") -> None:
-        """Respond with `status`; `header` names the header at fault, for the log."""
+    def __init__(
+        self, status: int, reason: InvalidRequestReason, header: str = "", retry_after: float = 0.0
+    ) -> None:
+        """Respond with `status`; `header` names the header at fault, for the log.
+
+        `retry_after` is in seconds; 0 means no Retry-After header.
+        """
         super().__init__(status, reason, header)
-        self.status, self.reason, self.header = status, reason, header
+        self.status, self.reason, self.header, self.retry_after = status, reason, header, retry_after
 
     @property
     def log_text(self) -> str:
--- a/starlingwheel/net/lifecycle/shutdown.py
+++ b/starlingwheel/net/lifecycle/shutdown.py
@@ -5,11 +5,15 @@
 
 from __future__ import annotations
 
+from ...decisions.lease import PROCESS_DELAY_MARGIN
 from ..actor import Actor, Coroutine
 from ..context import SidecarContext
-from ..messages import STOP
+from ..messages import STOP, ShutdownStarted
 
 LINGER = 0.6  # seconds for which clients are still served after a stop, because they notice the stop late
+# After a stop, the process may be killed once the longest timeout and then `KILL_DELAY` have passed.
+KILL_DELAY = 0.7  # seconds
+MAX_STOP_TIMEOUT = 3.0  # seconds of the longest timeout that count
 # How many times per shortest latency objective idle clients are disconnected, in a stop and in a drain.
 STOP_POLLS_PER_OBJECTIVE = 64
 DRAIN_POLLS_PER_OBJECTIVE = 16
@@ -28,10 +32,13 @@
         context = self.context
         yield None
         context.stopping = True  # from now on each response announces that its connection closes
+        context.answer_by = answer_deadline(context)
+        context.coordinator.post(ShutdownStarted(context.answer_by))
         context.log(
             "stop",
             clients=len(context.connections.clients),
             in_hand=len(context.coordinator.pending_requests),
+            answer_within_s=round(context.answer_by - self.loop.now(), 3),
         )
         # With a passed socket another process listens on it too and accepts the new connections.
         if not context.passed_socket:
@@ -53,6 +60,18 @@
             yield until
 
 
+def answer_deadline(context: SidecarContext) -> float:
+    """Return until when final responses are given after a stop: before the process may be killed.
+
+    Whoever kills the process may count with any configuration whose requests are still accepted.
+    """
+    requested_at = context.stop_requested_at
+    if requested_at is None:
+        requested_at = context.loop.now()
+    timeout = min(context.shortest_maximum_timeout(), MAX_STOP_TIMEOUT)
+    return requested_at + timeout + KILL_DELAY - PROCESS_DELAY_MARGIN
+
+
 class ClientDrainer(Actor):
     """Closes client connections while operators drain the sidecar."""
 
--- a/starlingwheel/net/lifecycle/signals.py
+++ b/starlingwheel/net/lifecycle/signals.py
@@ -53,6 +53,8 @@
             if signal.SIGHUP in numbers:
                 self._reload()
             if numbers & STOP_SIGNALS:
+                if self.context.stop_requested_at is None:
+                    self.context.stop_requested_at = self.loop.earliest_event_at
                 self.context.shutdown.post(STOP)
 
     def _reload(self) -> None:
--- a/starlingwheel/net/loop.py
+++ b/starlingwheel/net/loop.py
@@ -78,6 +78,8 @@
         self.timers: list[tuple[float, int, ref[Schedulable]]] = []
         self.timer_count = 0
         self.running = False
+        self.turn_length = 0.0  # seconds that the last turn took after its wait
+        self.earliest_event_at = self.now()  # the events of this turn occurred at this time or later
         self.max_timer_delay = 0.0  # the longest delay of a timer since the last report, in seconds
         self.after_turn: Callable[[], None] = lambda: None
 
@@ -133,7 +135,10 @@
         wait = min(max_wait, self.timers[0][0] - self.now()) if self.timers else max_wait
         if self.run_queue or self.priority_queue:
             wait = 0
-        for descriptor, mask in self.epoll.poll(None if wait == inf else max(wait, 0), MAX_EVENTS_PER_POLL):
+        events = self.epoll.poll(None if wait == inf else max(wait, 0), MAX_EVENTS_PER_POLL)
+        waited_until = self.now()
+        self.earliest_event_at = waited_until - self.turn_length
+        for descriptor, mask in events:
             if actor := self.actors_by_descriptor.get(descriptor):
                 actor.post(socket_ready(mask))
         # Messages go before timers, so that a late turn does not time out a response that has arrived.
@@ -141,6 +146,7 @@
             self._run_next()
         self._run_timers()
         self.after_turn()
+        self.turn_length = self.now() - waited_until
 
     def _run_next(self) -> None:
         while self.priority_queue:
--- a/starlingwheel/net/messages.py
+++ b/starlingwheel/net/messages.py
@@ -117,6 +117,13 @@
     balancer_config: BalancerConfig
 
 
+@dataclass(slots=True, eq=False)
+class ShutdownStarted:
+    """To the coordinator: the process has been stopped; every request has to be answered by `answer_by`."""
+
+    answer_by: float
+
+
 class WatchEndpoints:
     """To the discovery client: start a watch."""
 
