A long body is sent by one attempt only, also if another connects later

Cause: the attempts of a request share one body stream that can be read once. If the last byte is there before the first attempt begins, a hedge may follow; while the first connection is late, the hedge takes the body. max_attempts = 1 prevents later attempts, not the one that is out: to it the body looked consumed, so it wrote the head and the end. With a length, h11 refused that end, and the connection ended with a defect.

Change: an exchange has to hold the claim of the stream for each part and for the end; who takes the first byte keeps it. A body is consumed if all that arrived was taken, not if nothing is left. The gate refuses an attempt that can't get the whole body before its first byte (`body-taken`, not sent). Every attempt passes the gate and the writer.

--- a/starlingwheel/net/gate.py
+++ b/starlingwheel/net/gate.py
@@ -29,6 +29,7 @@
     TOO_LATE = "too-late"  # the deadline has passed
     CLIENT_LEFT = "client-left"
     WINDOW_OVER = "window-over"  # a retry of a request that may have run may not be deduplicated any more
+    BODY_TAKEN = "body-taken"  # another attempt has taken bytes of a body that can be read only once
 
 
 class AttemptGate:
@@ -56,6 +57,7 @@
         """Return why the exchange may not be sent to this endpoint now, or None if it may."""
         reason = self._endpoint_refusal(endpoint)
         reason = reason or self._repeat_refusal(exchange) or self.exchange_refusal(exchange)
+        reason = reason or self._body_refusal(exchange)
         if reason is not None:
             self.refused[reason] += 1
         else:
@@ -95,6 +97,15 @@
         is_over = self.now() >= first + max(window - PROCESS_DELAY_MARGIN, window / 2)
         return Refusal.WINDOW_OVER if is_over else None
 
+    @staticmethod
+    def _body_refusal(exchange: Exchange) -> Refusal | None:
+        """Refuse an attempt that can't send the body from its first byte on.
+
+        A connection may come up so late that a hedge has taken the body meanwhile.
+        """
+        body = exchange.body_stream
+        return None if body is None or body.is_whole_for(exchange) else Refusal.BODY_TAKEN
+
     def exchange_refusal(self, exchange: Exchange) -> Refusal | None:
         """Return why nothing more may be sent for an exchange on account of its request, or None.
 
--- a/starlingwheel/net/http/errors.py
+++ b/starlingwheel/net/http/errors.py
@@ -56,6 +56,7 @@
     REQUEST_ANSWERED = "answered"
     TOO_LATE = "too-late"
     DEDUPLICATION_WINDOW_OVER = "window-over"
+    BODY_TAKEN = "body-taken"
 
     @classmethod
     def answered(cls, status: int) -> CloseReason:
--- a/starlingwheel/net/http/request_writer.py
+++ b/starlingwheel/net/http/request_writer.py
@@ -87,10 +87,13 @@
         self.stream.enqueue(h11.EndOfMessage())
 
     def _relay_body(self, exchange: Exchange, body: BodyStream) -> Coroutine[None]:
-        """Write a body while it arrives; the end of the message is enqueued but not written."""
-        body.sink = self.stream.actor
+        """Write a body while it arrives; the end of the message is enqueued but not written.
+
+        Raises `ConnectionLostError` once another attempt has taken bytes of the body.
+        """
+        self._claim(exchange, body)
         yield from self.write(exchange)
-        while not body.is_consumed:
+        while not self._has_sent(exchange, body):
             if body.aborted:
                 raise ConnectionLostError(CloseReason.CLIENT_LEFT)
             part = body.take()
@@ -113,6 +116,15 @@
         exchange.written = True
         self.stream.enqueue(h11.EndOfMessage())
 
+    def _claim(self, exchange: Exchange, body: BodyStream) -> None:
+        if not body.claim(exchange, self.stream.actor):
+            raise ConnectionLostError(CloseReason.BODY_TAKEN)
+
+    def _has_sent(self, exchange: Exchange, body: BodyStream) -> bool:
+        """Return whether the exchange has taken the whole body. Raises `ConnectionLostError`."""
+        self._claim(exchange, body)
+        return body.is_consumed
+
     def _write_part(self, exchange: Exchange, views: list[memoryview]) -> Coroutine[None]:
         self.stream.enqueue_body(views)
         while not self.stream.write():
--- a/starlingwheel/net/state/body_stream.py
+++ b/starlingwheel/net/state/body_stream.py
@@ -29,12 +29,16 @@
 
     The source adds bytes and then ends or aborts the stream; the sink takes bytes and releases the stream at
     the end. Each side checks the state again when it receives `BODY_STREAM_CHANGED`.
+
+    Bytes that have been taken are not kept, so a stream can be read once. Where several readers may want it,
+    such as the attempts of one request, each has to `claim` it before it takes bytes or relies on the end.
     """
 
     __slots__ = (
         "pool",
         "source",
         "sink",
+        "reader",
         "length",
         "total",
         "taken",
@@ -42,6 +46,7 @@
         "ended",
         "aborted",
         "cancelled",
+        "released",
         "sink_notified",
     )
 
@@ -53,12 +58,14 @@
         self.source = source
         self.length = length
         self.sink: StreamEnd | None = None
+        self.reader: object = None  # the last one to claim the stream
         self.buffered = received  # bytes that have arrived and have not been taken
         self.total = received.length  # bytes that have arrived
         self.taken = 0  # bytes that the sink has taken
         self.ended = False  # the source has added the last byte
         self.aborted = False  # the source has aborted the stream
         self.cancelled = False  # the sink wants no more bytes
+        self.released = False  # the sink has released the buffers
         self.sink_notified = False  # the sink has a `BodyStreamChanged` that it has not handled
 
     # Used by the source.
@@ -99,7 +106,21 @@
     @property
     def is_consumed(self) -> bool:
         """Whether the whole body has been taken."""
-        return not self.buffered.length and (self.ended or self.taken == self.length)
+        return self.taken == self.length or (self.ended and self.taken == self.total)
+
+    def is_whole_for(self, reader: object) -> bool:
+        """Return whether the reader can still get the body from its first byte on."""
+        return not self.released and (not self.taken or self.reader is reader)
+
+    def claim(self, reader: object, sink: StreamEnd) -> bool:
+        """Reserve the body for a reader; return False if another one has taken bytes of it.
+
+        `sink` is notified from now on.
+        """
+        if not self.is_whole_for(reader):
+            return False
+        self.reader, self.sink = reader, sink
+        return True
 
     def take(self) -> BufferedBody:
         """Return the bytes that have arrived since the last call; the sink releases them once written."""
@@ -113,6 +134,8 @@
 
     def release(self) -> None:
         """Release the buffers, and tell the source that no more bytes are wanted."""
+        self.released = True
+        self.reader = None  # breaks a reference cycle
         self.buffered.release()
         if not (self.cancelled or self.ended):
             self.cancelled = True
