--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -13,13 +13,14 @@
 import socket
 import sys
 import threading
+import time
 from collections.abc import Callable, Coroutine, Iterator
 from types import FrameType
 from typing import Any, TypeVar
 
 import msgspec
 import pytest
-from conftest import SETTINGS, SidecarHarness
+from conftest import SETTINGS, SidecarHarness, request_class_settings
 
 from fakes.etcd import FakeEtcd
 from fakes.loopback import free_address
@@ -40,6 +41,7 @@
 )
 from starlingwheel.net.fleet.links import FrameReader, LinkRejectedError, encode_frame
 from starlingwheel.net.fleet.messages import EvictMember
+from starlingwheel.net.lifecycle.shutdown import KILL_DELAY, MAX_STOP_TIMEOUT
 from starlingwheel.net.messages import STOP
 from trials.emulated import World
 
@@ -489,6 +491,25 @@
     member.wait_until(lambda: not member.context.loop.running and not member_keys(store))
 
 
+def test_a_stopped_member_answers_a_replicated_request_and_its_repeat_before_it_may_be_killed(
+    make_harness: HarnessFactory, store: StoreThread
+) -> None:
+    """Their own deadlines are later; the repeat waits for the response to the first one."""
+    settings = SETTINGS | {"categories": request_class_settings(4_000_000)}
+    harness = make_harness(name="n0", fleet=fleet_config(store), settings=settings)
+    harness.wait_until(lambda: joined(harness))
+    first, repeat = (
+        harness.send_request("buy", b"one", x_work_name="w1", x_trace_id=trace, x_expires_in_ms="7900")
+        for trace in ("t1", "t2")
+    )
+    harness.read_request(harness.accept())
+    harness.context.shutdown.post(STOP)
+    killed_at = time.monotonic() + MAX_STOP_TIMEOUT + KILL_DELAY
+    statuses = [harness.read_status(first), harness.read_status(repeat)]
+    assert statuses == [504, 504]
+    assert time.monotonic() < killed_at
+
+
 def test_two_processes_of_one_sidecar_can_both_be_linked_to(
     make_harness: HarnessFactory, store: StoreThread
 ) -> None:
