Remembering an endpoint id costs a constant time, however many are known

Cause: EndpointOverrides rebuilt all known ids for each new one past 4,096. Change: net/state/known_ids.py keeps the unused ids in an order of their own and forgets the oldest of them, 2,048 at most, one by one. Every id in use is remembered, as before.

--- a/starlingwheel/net/state/overrides.py
+++ b/starlingwheel/net/state/overrides.py
@@ -14,9 +14,9 @@
 import msgspec
 
 from ..discovery.messages import DRAINING_STATE, LEFT_STATE, DiscoveredEndpoint
+from .known_ids import KnownIds
 
 OVERRIDES_FILE = "starlingwheel-operators.json"
-MAX_KNOWN_IDS = 4096  # endpoint ids that are remembered; the latest ones are kept
 RESTORED_RETENTION = 600.0  # seconds for which the restoring of an endpoint is remembered
 
 
@@ -108,7 +108,7 @@
         self.file = OverridesFile(Path(folder, OVERRIDES_FILE) if folder else None, log)
         self.stored = StoredOverrides()
         self.discovered: dict[str, DiscoveredEndpoint] = {}  # endpoints as discovery lists them, by id
-        self.known_ids: dict[str, None] = {}  # ids that were ever listed, in the order of listing
+        self.known_ids = KnownIds()
         self.has_unstored_ids = False  # whether `known_ids` has ids that are not stored
         self.reload()
 
@@ -119,17 +119,20 @@
     ) -> list[DiscoveredEndpoint]:
         """Apply a snapshot (`full`) or a delta; return its endpoints with the overrides applied."""
         if full:
+            for endpoint_id in self.discovered:
+                self.known_ids.release(endpoint_id)
             self.discovered.clear()
         effective = []
         for entry in entries:
             if entry.state == LEFT_STATE:
                 self.discovered.pop(entry.id, None)
+                self.known_ids.release(entry.id)
             else:
                 self.discovered[entry.id] = entry
-                if entry.id not in self.known_ids:
-                    self._remember_ids([entry.id])
+                if self.known_ids.use(entry.id):
                     self.has_unstored_ids = True
             effective.append(self.effective(entry))
+        self._forget_unused_ids()
         return effective
 
     def current(self, endpoint_id: str) -> DiscoveredEndpoint | None:
@@ -150,17 +153,9 @@
                 return msgspec.structs.replace(entry, started_ms=restored_at)
         return entry
 
-    def _remember_ids(self, ids: Iterable[str]) -> None:
-        for endpoint_id in ids:
-            self.known_ids[endpoint_id] = None
-        if len(self.known_ids) <= MAX_KNOWN_IDS:
-            return
-        in_use = {
-            known for known in self.known_ids if known in self.discovered or known in self.stored.drained
-        }
-        others = [known for known in self.known_ids if known not in in_use]
-        kept = [known for known in self.known_ids if known in in_use]
-        self.known_ids = dict.fromkeys([*others[-MAX_KNOWN_IDS // 2 :], *kept])
+    def _forget_unused_ids(self) -> None:
+        """Forget ids that are not listed, but for drained ones, if there are too many."""
+        self.known_ids.forget_unused(is_kept=self.stored.drained.__contains__)
 
     # Operators' commands. Each returns the endpoints that it changed, or None for an id that was never
     # listed. Each raises `OverridesLockedError`, or OSError if the file can't be written, and then changes
@@ -213,8 +208,8 @@
                 for endpoint_id, (start, restored_at) in overrides.restored.items()
                 if restored_at > oldest
             }
-            self._remember_ids(known for known in overrides.known_ids if known not in self.known_ids)
-            overrides.known_ids = list(self.known_ids)
+            self.known_ids.add_unused(overrides.known_ids)
+            overrides.known_ids = self.known_ids.to_list()
             self.file.write(overrides)
             self.has_unstored_ids = False
         return self._adopt(overrides)
@@ -222,7 +217,8 @@
     def _adopt(self, overrides: StoredOverrides) -> list[DiscoveredEndpoint]:
         before = {endpoint_id: self.effective(entry) for endpoint_id, entry in self.discovered.items()}
         self.stored = overrides
-        self._remember_ids(known for known in overrides.known_ids if known not in self.known_ids)
+        self.known_ids.add_unused(overrides.known_ids)
+        self._forget_unused_ids()
         after = {endpoint_id: self.effective(entry) for endpoint_id, entry in self.discovered.items()}
         return [entry for endpoint_id, entry in after.items() if entry != before[endpoint_id]]
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -22,8 +22,8 @@
 from starlingwheel.net.discovery.messages import DiscoveredEndpoint
 from starlingwheel.net.lifecycle.config import ConfigError
 from starlingwheel.net.state.connections import ConnectionTracker
+from starlingwheel.net.state.known_ids import MAX_UNUSED_IDS
 from starlingwheel.net.state.overrides import (
-    MAX_KNOWN_IDS,
     OVERRIDES_FILE,
     EndpointOverrides,
     OverridesLockedError,
@@ -277,11 +277,11 @@
     overrides = EndpointOverrides(str(tmp_path), lambda: 0.0, lambda *_, **__: None)
     overrides.apply_watch_message(True, [DiscoveredEndpoint("first"), DiscoveredEndpoint("second")])
     overrides.drain_endpoint("second")
-    for i in range(3 * MAX_KNOWN_IDS):
+    for i in range(6 * MAX_UNUSED_IDS):
         overrides.apply_watch_message(
             False, [DiscoveredEndpoint(f"s{i}"), DiscoveredEndpoint(f"s{i}", state="left")]
         )
-    assert len(overrides.known_ids) <= MAX_KNOWN_IDS + 2
+    assert len(overrides.known_ids) <= MAX_UNUSED_IDS + 2
     assert overrides.drain_endpoint("first") and overrides.restore_endpoint("second") is not None
     assert overrides.drain_endpoint("s0") is None
 
