Where an endpoint sends copies, content may decide after 20 ms instead of the whole rest

While any endpoint sent copies, only connections that had rested for 35 ms or more were reused; where connections come up late, each one that is not reused costs much. Change: content may decide again 1/48 of the shortest objective after a response, at endpoints that sent copies 20 ms after it. The rule for what is accepted is the same; this only changes which connections are tried.

--- a/starlingwheel/net/http/http1.py
+++ b/starlingwheel/net/http/http1.py
@@ -23,7 +23,7 @@
 from .errors import CloseReason, ConnectionLostError
 from .load_report import extract_load_report
 from .request_writer import RequestWriter
-from .response_attribution import ResponseAttribution, class_name_of
+from .response_attribution import MAX_COPY_DELAY, ResponseAttribution, class_name_of
 from .timing import connect_deadline, fault_recurrence_deadline, idle_deadline
 from .upstream_response import ExchangeResult, ResponseReader, next_socket_event, response_outcome
 
@@ -69,17 +69,26 @@
         return self.attribution.has_rested(self.loop.now())
 
     def is_provable_by_content(self, exchange: Exchange) -> bool:
-        """Return whether the content of the response is likely to show that it is no copy of the one before.
+        """Return whether the content of the response is likely to show that it is no copy of an earlier one.
 
-        After a health check that holds at once: a request often follows immediately, and a new connection for
-        each would be expensive for endpoints. While copies come, it holds nowhere.
+        After a health check that holds at once, while no copies come: a request often follows, and
+        a new connection for each would be expensive for endpoints.
         """
         now = self.loop.now()
-        early = now < self.idle_since + REUSE_DELAY_FRACTION * self.context.shortest_objective
-        if (early and not self.last_was_health_check) or now < self.context.unsolicited_responses_until:
+        trusted = self.last_was_health_check and now >= self.context.unsolicited_responses_until
+        if not trusted and now < self.idle_since + self._reuse_delay(now):
             return False
         return self.attribution.is_provable_by_content(class_name_of(exchange))
 
+    def _reuse_delay(self, now: float) -> float:
+        """Return how soon after a response the connection is reused if it has not rested.
+
+        An attempt whose response turns out to be a copy is lost, so most copies are to come before.
+        """
+        if self.required_rest.copies_expected(now):
+            return MAX_COPY_DELAY
+        return REUSE_DELAY_FRACTION * self.context.shortest_objective
+
     def run(self) -> Coroutine[None]:
         """Connect, then run exchanges until the connection ends."""
         try:
--- a/starlingwheel/net/http/response_attribution.py
+++ b/starlingwheel/net/http/response_attribution.py
@@ -58,9 +58,13 @@
         self.longest_delay = max(longest, delay)
         self.forget_at = forget_at
 
+    def copies_expected(self, now: float) -> bool:
+        """Return whether the endpoint has lately sent bytes that nobody had asked for."""
+        return now < self.forget_at
+
     def seconds(self, now: float) -> float:
         """Return the time that has to pass after a response."""
-        if now >= self.forget_at:
+        if not self.copies_expected(now):
             return MIN_REST
         return min(MAX_REST, max(MIN_REST, SEEN_DELAY_FACTOR * self.longest_delay))
 
--- a/tests/test_response_attribution.py
+++ b/tests/test_response_attribution.py
@@ -12,12 +12,14 @@
 
 import pytest
 from conftest import SETTINGS, SidecarHarness, request_class_settings
+from decision_host import LOOK
 from test_endings import events_delayed
 
 from starlingwheel.net.http import response_attribution
 from starlingwheel.net.http.errors import CloseReason, ConnectionLostError
 from starlingwheel.net.http.response_attribution import (
     COMPARED_PREFIX,
+    MAX_COPY_DELAY,
     MAX_REST,
     MAX_UNRESTED_RESPONSES,
     MIN_REST,
@@ -222,6 +224,23 @@
     assert harness.read_status(client) == 200
 
 
+@pytest.mark.parametrize("copies_come", [False, True])
+def test_where_copies_come_a_connection_is_reused_later_by_content(
+    restless_harness: SidecarHarness, copies_come: bool
+) -> None:
+    """Most copies come before, so that fewer attempts are lost."""
+    harness = restless_harness
+    answer_first_request(harness, "look", response(b"one"))
+    connection = harness.context.connections.longest_idle()
+    if copies_come:
+        connection.required_rest.note_unsolicited(0.001, 0.0, forget_at=float("inf"))
+    reuse_delay = MAX_COPY_DELAY if copies_come else harness.context.shortest_objective / 48
+    exchange: Any = SimpleNamespace(pending=SimpleNamespace(request=SimpleNamespace(request_class=LOOK)))
+    for share, reusable in ((0.9, False), (1.1, True)):
+        connection.idle_since = harness.context.loop.now() - share * reuse_delay
+        assert connection.is_provable_by_content(exchange) is reusable
+
+
 class Check:
     """A `ResponseAttribution` whose clock the test sets."""
 
@@ -316,13 +335,14 @@
 def test_the_rest_becomes_longer_where_copies_were_seen_to_come_later() -> None:
     """Up to a limit, and for a time."""
     rest = RequiredRest()
-    assert rest.seconds(0.0) == MIN_REST
+    assert rest.seconds(0.0) == MIN_REST and not rest.copies_expected(0.0)
     rest.note_unsolicited(MIN_REST * 0.75, 1.0, forget_at=10.0)
     assert rest.seconds(2.0) == MIN_REST * 0.75 * SEEN_DELAY_FACTOR
     rest.note_unsolicited(MIN_REST / 10, 2.0, forget_at=10.0)
     assert rest.seconds(2.0) == MIN_REST * 0.75 * SEEN_DELAY_FACTOR
     rest.note_unsolicited(100.0, 3.0, forget_at=10.0)
     assert rest.seconds(9.0) == MAX_REST
+    assert rest.copies_expected(9.0) and not rest.copies_expected(10.0)
     assert rest.seconds(10.0) == MIN_REST
     rest.note_unsolicited(MIN_REST / 10, 11.0, forget_at=20.0)
     assert rest.seconds(12.0) == MIN_REST
