--- a/tests/test_fleet_trials.py
+++ b/tests/test_fleet_trials.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 import tempfile
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -68,6 +70,27 @@
     assert result.passed, result.violations
 
 
+@pytest.mark.parametrize(
+    ("category", "may_have_run", "at", "allowed"),
+    [("buy", 1, 2.0, 1), ("buy", 0, 2.0, 0), ("look", 1, 2.0, 0), ("buy", 1, 3.5, 0), ("buy", 1, 4.5, 1)],
+)
+def test_only_a_request_taken_over_from_a_sidecar_in_service_may_fail_at_a_planned_stop(
+    category: str, may_have_run: int, at: float, allowed: int
+) -> None:
+    """The sidecar n1 starts at 1, is stopped at 3 and starts again at 4."""
+    lifecycle = [
+        {"event": event, "at": time} for event, time in (("start", 1.0), ("stop", 3.0), ("start", 4.0))
+    ]
+    takeover = {"former": "n1.ab", "category": category, "may_have_run": may_have_run, "at": at}
+    logs = {"n0": ([], [takeover]), "n1": (lifecycle, [])}
+    sidecars = [
+        SimpleNamespace(name=name, log_lines=lambda *events, own=own: own["cover.taken_over" in events])
+        for name, own in logs.items()
+    ]
+    cluster: Any = SimpleNamespace(sidecars=sidecars)
+    assert hard.non_idempotent_takeovers(cluster) == allowed
+
+
 @pytest.mark.xdist_group("trials-2")
 def test_added_latency_is_measured_by_pairs_of_calls(capsys: pytest.CaptureFixture[str]) -> None:
     """The trial `added` prints one row per rate, with counts of pairs, failures and connections."""
