--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -1,13 +1,11 @@
 """A long body is sent to one endpoint only, from its first byte to its last."""
 
-import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import pytest
 from conftest import SETTINGS, SidecarHarness
+from test_gone_clients import connect_events_delayed
 
-from starlingwheel.net.actor import Actor
-from starlingwheel.net.loop import WRITE
 from starlingwheel.net.state.body_stream import BodyStream
 from starlingwheel.net.state.buffers import MAX_BUFFERED_BODY, BufferedBody, BufferPool
 
@@ -24,26 +22,6 @@
     return harness
 
 
-@contextlib.contextmanager
-def first_connection_late(harness: SidecarHarness) -> Iterator[None]:
-    """Let the first connection to an endpoint come up at the end of the block."""
-    loop, late = harness.context.loop, []
-    register = loop.register
-
-    def register_later(descriptor: int, actor: Actor, mask: int) -> None:
-        if mask == WRITE and hasattr(actor, "pool") and not late:
-            late.append((descriptor, actor, mask))
-        else:
-            register(descriptor, actor, mask)
-
-    loop.register = register_later
-    yield
-    loop.register = register
-    for descriptor, actor, mask in late:
-        if not actor.ended:
-            register(descriptor, actor, mask)
-
-
 def request(harness: SidecarHarness, category: str, is_chunked: bool) -> bytes:
     """Return a request with the long body."""
     if not is_chunked:
@@ -60,7 +38,7 @@
 ) -> None:
     """It was sent with the client's id and key and an empty body, or with an error in the connection."""
     client = harness.connect_client()
-    with first_connection_late(harness):
+    with connect_events_delayed(harness, limit=1):
         client.sendall(request(harness, category, is_chunked))
         i, late = harness.wait_until(harness.accept_any)
         hedge = harness.accept(1 - i)
@@ -82,7 +60,7 @@
 ) -> None:
     """A connection that breaks before the first byte leaves the body whole."""
     client = harness.connect_client()
-    with first_connection_late(harness):
+    with connect_events_delayed(harness, limit=1):
         client.sendall(request(harness, "buy", is_chunked=True))
         i, late = harness.wait_until(harness.accept_any)
         harness.reset(late)
--- a/tests/test_gone_clients.py
+++ b/tests/test_gone_clients.py
@@ -11,6 +11,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
+from math import inf
 from typing import Any
 
 import pytest
@@ -137,13 +138,15 @@
 
 
 @contextlib.contextmanager
-def connect_events_delayed(harness: SidecarHarness) -> Iterator[list[tuple[int, Actor, int]]]:
-    """Delay the socket events of new connections to endpoints until the end of the block."""
+def connect_events_delayed(
+    harness: SidecarHarness, limit: float = inf
+) -> Iterator[list[tuple[int, Actor, int]]]:
+    """Delay the events of the first `limit` new connections to endpoints until the end of the block."""
     loop, kept = harness.context.loop, []
     register = loop.register
 
     def delay_register(descriptor: int, actor: Actor, mask: int) -> None:
-        if mask == WRITE and hasattr(actor, "pool"):
+        if mask == WRITE and hasattr(actor, "pool") and len(kept) < limit:
             kept.append((descriptor, actor, mask))
         else:
             register(descriptor, actor, mask)
--- a/tests/test_response_crossing.py
+++ b/tests/test_response_crossing.py
@@ -117,7 +117,7 @@
         thread.close()
 
 
-def foreign_responses(harness: SidecarHarness, category: str) -> tuple[int, list[tuple[str, bytes]]]:
+def foreign_responses(harness: SidecarHarness) -> tuple[int, list[tuple[str, bytes]]]:
     """Send requests for a while; return how many were served, and the responses made for another one."""
     served, foreign, number = 0, [], 0
     waiting = {}
@@ -126,8 +126,7 @@
         while len(waiting) < CLIENTS and time.monotonic() < until:
             number += 1
             trace = f"t{number:05d}"
-            key = {"idempotency_key": f"k{number}"} if category == "move" else {}
-            sock = harness.send_request(category, x_trace_id=trace, x_expires_in_ms="900", **key)
+            sock = harness.send_request("buy", x_trace_id=trace, x_expires_in_ms="900")
             waiting[sock] = trace
         harness.run_for(0.002)
         for sock in list(waiting):
@@ -170,7 +169,7 @@
     )
     link = dataclasses.replace(link, rng=random.Random(7))
     start_endpoints(harness, link)
-    served, foreign = foreign_responses(harness, "buy")
+    served, foreign = foreign_responses(harness)
     assert foreign == []
     assert link.sent and served > CLIENTS
 
@@ -189,6 +188,6 @@
     wall, rng = time.time, random.Random(3)
     monkeypatch.setattr(time, "time", lambda: wall() + rng.choice([-10.0, 0.0, 10.0]))
     start_endpoints(harness, link)
-    served, foreign = foreign_responses(harness, "buy")
+    served, foreign = foreign_responses(harness)
     assert foreign == []
     assert link.sent and served > CLIENTS
