--- a/fakes/http1.py
+++ b/fakes/http1.py
@@ -8,10 +8,12 @@
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
 import h11
 
+from .delivery import HANG_TIME, PIECE_INTERVAL, Delivery, Ending, Framing
 from .loopback import loopback_host
 
 READ_SIZE = 65536  # bytes per read
@@ -32,12 +34,16 @@
 
 @dataclass
 class Response:
-    """A response. With `parts`, the body is sent in chunks until the iterator ends."""
+    """A response. With `parts`, the body is sent in chunks until the iterator ends.
+
+    With `delivery`, the body is written as it says.
+    """
 
     status: int = 200
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     parts: AsyncIterator[bytes] | None = None
+    delivery: Delivery | None = None
 
 
 @dataclass(frozen=True)
@@ -95,6 +101,7 @@
         self.handler, self.host, self.port = handler, host or loopback_host(), 0
         self.server: asyncio.Server | None = None
         self.connections: dict[asyncio.StreamWriter, asyncio.Task[Any]] = {}
+        self.read_pause = 0.0  # seconds between two reads of a request, each of at most READ_SIZE
         # Called before a connection is closed.
         self.on_close: Callable[[asyncio.StreamWriter], None] = lambda writer: None
 
@@ -155,7 +162,10 @@
             if response is RESET:
                 abort(writer)
                 return
-            await self._write_response(connection, response)
+            if response.delivery is not None:
+                await self._deliver(connection, response, response.delivery)
+            else:
+                await self._write_response(connection, response)
             if not connection.start_next_cycle():
                 return
 
@@ -165,6 +175,8 @@
         while True:
             event = connection.http.next_event()
             if event is h11.NEED_DATA:
+                if head is not None and self.read_pause:
+                    await asyncio.sleep(self.read_pause)
                 connection.http.receive_data(await connection.reader.read(READ_SIZE))
             elif isinstance(event, h11.Request):
                 head = event
@@ -199,6 +211,49 @@
         writer.write(out + (http.send(h11.EndOfMessage()) or b""))
         await writer.drain()
 
+    async def _deliver(self, connection: Connection, response: Response, delivery: Delivery) -> None:
+        """Write a response as its delivery says, and record there what became of it."""
+        writer, http = connection.writer, connection.http
+        try:
+            async with cancel_when_closed(connection.reader):
+                writer.write(self._delivery_head(http, response, delivery))
+                await writer.drain()
+                delivery.head_at = delivery.note()
+                await asyncio.sleep(delivery.body_delay)
+                delivery.body_at = delivery.note()
+                for piece in delivery.pieces(response.body):
+                    framed = piece if delivery.framing is Framing.CLOSE else http.send(h11.Data(data=piece))
+                    writer.write(framed or b"")
+                    await writer.drain()
+                    delivery.sent += len(piece)
+                    if delivery.rate != inf:
+                        await asyncio.sleep(PIECE_INTERVAL)
+                if delivery.ending is Ending.HANG:
+                    await asyncio.sleep(HANG_TIME)
+        except (asyncio.CancelledError, OSError):
+            delivery.broken_at = delivery.note()
+            raise
+        if delivery.ending is Ending.RESET:
+            abort(writer)
+        elif delivery.framing is not Framing.CLOSE:
+            writer.write(http.send(h11.EndOfMessage()) or b"")
+            await writer.drain()
+        if delivery.ending is Ending.COMPLETE:
+            delivery.completed_at = delivery.note()
+
+    @staticmethod
+    def _delivery_head(http: h11.Connection, response: Response, delivery: Delivery) -> bytes:
+        """Return the head; h11 would frame a response without a length in chunks, so that one bypasses it."""
+        headers = list(response.headers.items())
+        if delivery.framing is Framing.CLOSE:
+            lines = [f"HTTP/1.1 {response.status} x", *(f"{name}: {value}" for name, value in headers)]
+            return "\r\n".join([*lines, "Connection: close", "", ""]).encode()
+        framing = ("Content-Length", str(len(response.body)))
+        if delivery.framing is Framing.CHUNKED:
+            framing = ("Transfer-Encoding", "chunked")
+        head = h11.Response(status_code=response.status, reason=b"x", headers=[*headers, framing])
+        return http.send(head) or b""
+
 
 class ConnectionBrokenError(Exception):
     """A connection ended without a complete response; the message says how."""
--- a/trials/added.py
+++ b/trials/added.py
@@ -28,8 +28,8 @@
 from fakes.endpoint_list import EndpointListServer
 from fakes.loopback import free_address, loopback_host
 
-from .processes import cpu_time, set_parent_death_signal
-from .rig import CAPS, CATEGORIES, MEMORY_FOLDER, READY_TIMEOUT, ROOT
+from .processes import READY_TIMEOUT, cpu_time, set_parent_death_signal
+from .rig import CAPS, CATEGORIES, MEMORY_FOLDER, ROOT
 from .verdict import TrialResult
 
 CLIENTS = 8
--- a/trials/endpoint_list/trial.py
+++ b/trials/endpoint_list/trial.py
@@ -21,7 +21,8 @@
 from fakes.discovery import FakeDiscovery
 from fakes.http1 import ConnectionBrokenError, Handler, Request, Response, Server
 
-from ..rig import MEMORY_FOLDER, READY_TIMEOUT, ROOT
+from ..processes import READY_TIMEOUT
+from ..rig import MEMORY_FOLDER, ROOT
 from ..verdict import TrialResult
 from .process import DRAIN_GRACE, SidecarProcess
 
--- a/trials/policy.py
+++ b/trials/policy.py
@@ -249,7 +249,7 @@
     cluster.categories = policy_body(change.label)["settings"]["categories"]
     for sidecar in cluster.sidecars:
         text = json.dumps(sidecar.configuration())
-        sidecar.paths["json"].write_text(text if sidecar is not cluster.sidecars[-1] else text[:-5])
+        sidecar.config_path.write_text(text if sidecar is not cluster.sidecars[-1] else text[:-5])
         sidecar.signal(signal.SIGHUP)
     change.switch_at, change.outcome = asyncio.get_running_loop().time(), "decided"
 
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -9,8 +9,6 @@
 import random
 import shutil
 import signal
-import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -24,14 +22,13 @@
 from fakes.relay import LinkDirection, Relay
 from fakes.upstream import Run, Upstream
 
-from .processes import set_parent_death_signal
+from .processes import PROGRAM, READY_TIMEOUT, SidecarProgram
 from .verdict import TrialResult, check_requests
 
 LOG_FOLDER = os.environ.get("TRIAL_LOGS", "")  # where the logs of the processes are copied to; empty: nowhere
 ROOT = Path(__file__).parent.parent
 # The files of many processes may be more than a slow disk can write in time.
 MEMORY_FOLDER = "/dev/shm" if os.access("/dev/shm", os.W_OK) else None
-READY_TIMEOUT = 20.0  # seconds, enough on a busy machine
 ZONES = ("north", "east", "south")
 CATEGORY_TIMES = {"dueTime": 1_000_000, "expiry": 2_000_000}
 CATEGORIES = [
@@ -46,7 +43,6 @@
 }  # fmt: skip
 
 
-PROGRAM = ["-m", "starlingwheel"]
 PROGRAM_WITH_CLOCK_AHEAD = (
     "import sys, time; real = time.time; time.time = lambda: real() + {};"
     "from starlingwheel.net.lifecycle.sidecar import main; sys.exit(main())"
@@ -61,28 +57,22 @@
     return count
 
 
-class Sidecar:
+class Sidecar(SidecarProgram):
     """A sidecar process that can be restarted under the same name and addresses."""
 
     def __init__(self, cluster: Cluster, number: int) -> None:
         """Create the sidecar without starting a process; its number determines its name, host and zone."""
-        self.cluster, self.number, self.name = cluster, number, f"n{number}"
+        self.cluster, self.number = cluster, number
         self.host = loopback_host(1 + number)
         self.zone = ZONES[number % len(ZONES)]
-        self.port, self.admin_port, self.fleet_port = free_ports(self.host, 3)
-        self.process: subprocess.Popen[bytes] | None = None
+        port, self.admin_port, self.fleet_port = free_ports(self.host, 3)
+        super().__init__(f"n{number}", f"{self.host}:{port}", cluster.folder, cluster.root)
         self.memory_mb = 192.0
         self.clock_offset = 0.0  # seconds by which its wall clock is ahead
         self.relays: list[Relay] = []
         self.peer_relay = Relay(lambda: (self.host, self.fleet_port), cluster.rng)
         self.store_relay = Relay(lambda: (cluster.store.server.host, cluster.store.server.port), cluster.rng)
         self.endpoint_list = EndpointListServer(self._entries)
-        self.paths = {kind: cluster.folder / f"{self.name}.{kind}" for kind in ("json", "log")}
-
-    @property
-    def address(self) -> str:
-        """The address on which the sidecar listens for clients, host:port."""
-        return f"{self.host}:{self.port}"
 
     def _entries(self) -> list[dict[str, Any]]:
         """Return the endpoint list, in which each upstream has the address of its relay."""
@@ -133,33 +123,8 @@
 
     def start(self) -> None:
         """Start a process under the name and addresses of the previous one."""
-        self.paths["json"].write_text(json.dumps(self.configuration()))
-        # TMPDIR is removed, because all sidecars would share the operators' overrides stored there.
-        environment = {name: value for name, value in os.environ.items() if name != "TMPDIR"}
-        program = ["-c", PROGRAM_WITH_CLOCK_AHEAD.format(self.clock_offset)] if self.clock_offset else PROGRAM
-        with self.paths["log"].open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-B", *program],
-                cwd=self.cluster.root, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                env=environment | {"EDGE_CONFIG": str(self.paths["json"])},
-                preexec_fn=set_parent_death_signal,
-            )  # fmt: skip
-
-    async def wait_until_ready(self) -> None:
-        """Wait until the sidecar accepts requests.
-
-        Raises `RuntimeError` if the process ends or READY_TIMEOUT passes first.
-        """
-        client, until = HttpClient(self.address), asyncio.get_running_loop().time() + READY_TIMEOUT
-        while asyncio.get_running_loop().time() < until:
-            with contextlib.suppress(ConnectionBrokenError):
-                if (await client.call("GET", "/ready", {}))[0] == 200:
-                    client.close()
-                    return
-            if not self.alive:
-                break
-            await asyncio.sleep(0.02)
-        raise RuntimeError(f"{self.name} is not ready: {self.paths['log'].read_text()[-2000:]}")
+        ahead = ("-c", PROGRAM_WITH_CLOCK_AHEAD.format(self.clock_offset))
+        self.start_process(self.configuration(), program=ahead if self.clock_offset else PROGRAM)
 
     async def admin_call(self, method: str, path: str, body: object = None) -> tuple[int, Any]:
         """Make an admin call and return the status and the decoded body of its response."""
@@ -172,22 +137,6 @@
             client.close()
         return status, json.loads(text) if text else None
 
-    def signal(self, number: int) -> None:
-        """Send a signal to the process if it is running."""
-        if self.alive:
-            os.kill(self.process.pid, number)
-
-    def kill(self) -> None:
-        """Kill the process and wait until it has ended."""
-        self.signal(signal.SIGKILL)
-        if self.process is not None:
-            self.process.wait()
-
-    @property
-    def alive(self) -> bool:
-        """Whether the process is running."""
-        return self.process is not None and self.process.poll() is None
-
     async def has_sharded_view(self, members: int, shard_count: int) -> bool:
         """Return whether the sidecar has a view of that size and shard count, and links to its shard."""
         with contextlib.suppress(ConnectionBrokenError, TimeoutError):
@@ -204,14 +153,6 @@
         link_count = sum({"link.up": 1, "link.down": -1}.get(line["event"], 0) for line in records)
         return bool(views) and views[-1]["members"] == members and link_count >= members - 1
 
-    def log_lines(self, *events: str) -> list[dict[str, Any]]:
-        """Return the decoded log lines of these events."""
-        records = []
-        for line in self.paths["log"].read_text().splitlines():
-            with contextlib.suppress(json.JSONDecodeError):
-                records.append(json.loads(line))
-        return [line for line in records if line.get("event") in events]
-
 
 class Cluster:
     """The sidecars, fakes and links of one trial, used by `async with Cluster(...) as cluster`."""
@@ -355,7 +296,7 @@
 
     def log_tails(self) -> str:
         """Return the last 1500 characters of each sidecar's log."""
-        return "\n".join(f"{s.name}: {s.paths['log'].read_text()[-1500:]}" for s in self.sidecars)
+        return "\n".join(f"{s.name}: {s.log()[-1500:]}" for s in self.sidecars)
 
     async def wait_for_view(self, members: int) -> None:
         """Wait until each running sidecar has a view of that many members and links to its whole shard.
--- /dev/null
+++ b/trials/single.py
@@ -0,0 +1,173 @@
+"""One sidecar as real processes, with servers and an endpoint list in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import socket
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from fakes.endpoint_list import EndpointListServer
+from fakes.http1 import Handler, Server
+from fakes.loopback import free_ports, loopback_host
+
+from .processes import SidecarProgram
+from .rig import CAPS, MEMORY_FOLDER, ROOT
+
+MICROSECONDS = 1_000_000  # in a second
+BACKLOG = 1024  # connections that may wait at a passed socket
+Json = dict[str, Any]
+
+
+def request_class(name: str, effect: str, objective: float, timeout: float, **changed: object) -> Json:
+    """Return the settings of a request class; times in seconds, `changed`: further keys."""
+    times = {"dueTime": int(objective * MICROSECONDS), "expiry": int(timeout * MICROSECONDS)}
+    return {"name": name, "effect": effect, "payoff": 1.0} | times | changed
+
+
+class SingleSidecar:
+    """A sidecar, its servers and its endpoint list; used by `async with`.
+
+    `process` is the sidecar's only process or, with `passed_socket`, the latest one of those that replace
+    each other on one listening socket.
+    """
+
+    def __init__(
+        self,
+        handler_for: Callable[[str], Handler],
+        servers: int,
+        categories: list[Json],
+        root: Path = ROOT,
+        passed_socket: bool = False,
+        settings: Json | None = None,
+        limits: Json | None = None,
+        host_number: int = 1,
+    ) -> None:
+        """Create everything without starting it.
+
+        `handler_for` returns the handler of the server of that name. `settings` and `limits` override parts
+        of the configuration. Of several sidecars each has a `host_number` of its own.
+        """
+        self.root, self.categories = root, categories
+        self.settings, self.limits = settings or {}, limits or {}
+        self.host = loopback_host(host_number)
+        self.servers = {f"s{number}": Server(handler_for(f"s{number}")) for number in range(servers)}
+        self.entries: dict[str, Json] = {}
+        self.endpoint_list = EndpointListServer(lambda: list(self.entries.values()))
+        self.is_replaceable = passed_socket
+        self.listener: socket.socket | None = None
+        self.programs: list[SidecarProgram] = []
+
+    @property
+    def process(self) -> SidecarProgram:
+        """The latest process."""
+        return self.programs[-1]
+
+    @property
+    def address(self) -> str:
+        """Where clients connect, host:port."""
+        return self.process.address
+
+    async def __aenter__(self) -> SingleSidecar:
+        """Start the servers and a process; raises `RuntimeError` if it is not ready in time."""
+        self.folder_owner = tempfile.TemporaryDirectory(prefix="trial-", dir=MEMORY_FOLDER)
+        self.folder = Path(self.folder_owner.name)
+        (self.folder / "tmp").mkdir()
+        try:
+            await self.endpoint_list.server.start()
+            for name, server in self.servers.items():
+                await server.start()
+                self.entries[name] = self.entry(name)
+            if self.is_replaceable:
+                self.listener = socket.create_server((self.host, 0), backlog=BACKLOG)
+            self.start_process()
+            await self.process.wait_until_ready()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop everything."""
+        for program in self.programs:
+            program.signal(signal.SIGCONT)
+            program.kill()
+        if self.listener is not None:
+            self.listener.close()
+        await self.endpoint_list.server.stop()
+        for server in self.servers.values():
+            await server.stop()
+        self.folder_owner.cleanup()
+
+    def entry(self, name: str, **changed: object) -> Json:
+        """Return a server's entry in the endpoint list."""
+        return {"id": name, "addr": self.servers[name].address, "zone": "", "state": "active"} | changed
+
+    def list_endpoints(self, *entries: Json) -> None:
+        """Replace or add entries of the endpoint list, and send the list."""
+        self.entries |= {entry["id"]: entry for entry in entries}
+        self.endpoint_list.change()
+
+    def configuration(self) -> Json:
+        """Return the configuration of the next process."""
+        settings = {
+            "categories": self.categories,
+            "caps": CAPS,
+            "rules": {"mustAskIn": 8 * MICROSECONDS, "drainGrace": MICROSECONDS // 2},
+            "discovery": "ask",
+            "replicasOfMe": 1,
+            "slotNo": 0,
+        }
+        return {
+            "name": "n0",
+            "listen": self.address,
+            "discovery": self.endpoint_list.server.address,
+            "mgmt": f"{self.host}:{self.admin_port}",
+            "limits": {"memory_mb": 192, "sockets": 1024} | self.limits,
+            "seed": str(len(self.programs)),
+            "known": {"version": 0, "full": True, "servers": list(self.entries.values())},
+            "settings": settings | self.settings,
+        }
+
+    def start_process(self) -> None:
+        """Start the first process, or one more beside the former ones."""
+        port, self.admin_port = free_ports(self.host, 2)
+        address = f"{self.host}:{port}"
+        environment = {"TMPDIR": str(self.folder / "tmp")}
+        descriptors: list[int] = []
+        if self.listener is not None:
+            address = "{}:{}".format(*self.listener.getsockname())
+            descriptors = [self.listener.fileno()]
+            environment["EDGE_PASSED_SOCKET"] = str(descriptors[0])
+        elif self.programs:
+            address = self.address
+        self.programs.append(SidecarProgram(f"n0-{len(self.programs)}", address, self.folder, self.root))
+        self.process.start_process(self.configuration(), environment, descriptors=descriptors)
+
+    async def replace_process(self) -> None:
+        """Start a process beside the former one; once it is ready, tell the former one to stop.
+
+        Raises `RuntimeError` if the new one is not ready in time.
+        """
+        former = self.process
+        self.start_process()
+        await self.wait_for_log_line("list.answered")
+        former.signal(signal.SIGTERM)
+
+    async def wait_for_log_line(self, event: str, timeout: float = 10.0) -> None:
+        """Wait until the latest process has logged an event; raises `RuntimeError` after the timeout."""
+        until = asyncio.get_running_loop().time() + timeout
+        while not self.process.log_lines(event):
+            if asyncio.get_running_loop().time() > until:
+                raise RuntimeError(f"no {event}: {self.process.log()[-2000:]}")
+            await asyncio.sleep(0.02)
+
+    def defects(self) -> list[Json]:
+        """Return the log lines that report errors in the program itself."""
+        with contextlib.suppress(OSError):
+            return [line for p in self.programs for line in p.log_lines("defect", "module.defect")]
+        return []
