Log: the end of a connection names the request that it cut off, and how far its response had come

Result: 280 tests of the modules concerned pass; the new test fails without the change (no such field).

--- a/starlingwheel/net/http/endpoint_connection.py
+++ b/starlingwheel/net/http/endpoint_connection.py
@@ -40,10 +40,10 @@
         self.has_stream = True
         self.stream.wait_for(WRITE)
 
-    def _end_connection(self, reason: CloseReason) -> None:
-        """Close the socket and notify the pool."""
+    def _end_connection(self, reason: CloseReason, **details: object) -> None:
+        """Close the socket and notify the pool; `details` are further fields of the log line."""
         if self.has_stream:
             self.stream.close()
         self.context.connections.endpoint_connections.pop(self, None)
         self.pool.post(ConnectionClosed(self))
-        self.pool.log_closed(reason, self.exchange_count)
+        self.pool.log_closed(reason, self.exchange_count, details)
--- a/starlingwheel/net/http/http1.py
+++ b/starlingwheel/net/http/http1.py
@@ -270,7 +270,9 @@
         return AttemptOutcome.RESET if written else AttemptOutcome.CONNECT_FAILED
 
     def _close(self) -> None:
+        details: dict[str, object] = {}
         if self.reader is not None:
+            details = self.reader.progress()
             self.reader.body.release()
             self.reader = None  # breaks a reference cycle with this connection
-        self._end_connection(self.reason or CloseReason.DEFECT)
+        self._end_connection(self.reason or CloseReason.DEFECT, **details)
--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -349,6 +349,9 @@
         )
 
     def _close(self, reason: CloseReason) -> None:
+        exchanges = [stream_exchange.exchange for stream_exchange in self.streams.values()]
+        traces = [e.pending.trace_id.decode("latin-1") for e in exchanges if e.pending is not None]
+        details = {"traces": traces} if traces else {}
         for stream_exchange in list(self.streams.values()):
             self._end_exchange(stream_exchange, AttemptOutcome.RESET)
         outcome = AttemptOutcome.NOT_SENT if self.connected else AttemptOutcome.CONNECT_FAILED
@@ -356,4 +359,4 @@
             self._report(exchange, ExchangeResult(outcome))
         self.waiting.clear()
         self.context.connections.idle_endpoint_connections.pop(self, None)
-        self._end_connection(reason)
+        self._end_connection(reason, **details)
--- a/starlingwheel/net/http/pool.py
+++ b/starlingwheel/net/http/pool.py
@@ -88,9 +88,11 @@
             if connection in connections:
                 connections.remove(connection)
 
-    def log_closed(self, reason: CloseReason, exchange_count: int) -> None:
-        """Log the end of a connection."""
-        self.context.log("upstream.end", reason=reason, upstream=self.endpoint.id, carried=exchange_count)
+    def log_closed(self, reason: CloseReason, exchange_count: int, details: dict[str, Any]) -> None:
+        """Log the end of a connection; `details` are further fields, on what was in progress."""
+        self.context.log(
+            "upstream.end", reason=reason, upstream=self.endpoint.id, carried=exchange_count, **details
+        )
 
     def _start(self, exchange: Exchange) -> None:
         for multiplexed in self.multiplexed:
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -125,6 +125,7 @@
         "length",
         "body",
         "relay",
+        "is_complete",
     )
 
     def __init__(
@@ -145,6 +146,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.length: int | None = None
         self.body = BufferedBody(context.buffer_pool)
+        self.is_complete = False
         self.relay: BodyStream | None = None  # replaces `body` once the body is passed on while it arrives
 
     def read(self) -> Coroutine[h11.Response]:
@@ -166,6 +168,7 @@
                     self._check_complete(head)
                     if self.relay is not None:
                         self.relay.end()
+                    self.is_complete = True
                     return head
                 elif isinstance(event, h11.ConnectionClosed):
                     raise ConnectionLostError(CloseReason.UPSTREAM_CLOSED)
@@ -175,6 +178,15 @@
             if self.relay is not None:
                 self.relay.abort()
 
+    def progress(self) -> dict[str, object]:
+        """Return the fields that tell, in the log, how far a response has come that is not complete."""
+        pending = self.exchange.pending
+        if self.is_complete or pending is None:
+            return {}
+        status = 0 if self.head is None else self.head.status_code
+        trace = pending.trace_id.decode("latin-1")
+        return {"trace": trace, "status": status, "body_bytes": self.attribution.length}
+
     def take_body(self) -> UpstreamResponse:
         """Return the buffered body as the response of the exchange, which then owns it."""
         body, self.body = self.body, BufferedBody(self.context.buffer_pool)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -769,3 +769,16 @@
     """Such a report is dropped as a whole; in a readable report, only unknown figures are ignored."""
     assert parse_load_report(text) == {}
     assert parse_load_report("TEXT inflight=7, queue=2, other=3") == {"held": 7.0, "waiting": 2.0}
+
+
+def test_the_end_of_a_connection_names_the_request_that_it_cut_off(harness: SidecarHarness) -> None:
+    """Without the trace id and the progress a line can't be matched with what a client saw (issue 75)."""
+    client = harness.send_request("buy", x_trace_id="t9")
+    upstream = harness.accept()
+    harness.read_request(upstream)
+    upstream.sendall(b"HTTP/1.1 200 x\r\nContent-Length: 900\r\n\r\n123")
+    harness.run_for(0.05)
+    harness.reset(upstream)
+    harness.read_status(client)
+    line = harness.wait_until(lambda: harness.log_lines("upstream.end"))[0]
+    assert (line["trace"], line["status"], line["body_bytes"]) == ("t9", 200, 3)
