Trials: the rig's sidecars have their port again; a fake server no longer reads beside itself

And `cancel_when_closed` of the fakes read from the connection while it watched it, so that the next read of the server could raise. Change: the attribute is back; the end of a connection is seen without reading.

--- a/fakes/http1.py
+++ b/fakes/http1.py
@@ -17,6 +17,7 @@
 from .loopback import loopback_host
 
 READ_SIZE = 65536  # bytes per read
+CLOSED_CHECK_INTERVAL = 0.005  # seconds
 MAX_BIND_ATTEMPTS = 50
 BIND_RETRY_INTERVAL = 0.1  # seconds
 
@@ -80,17 +81,17 @@
     task = asyncio.current_task()
     assert task is not None
 
-    def check_closed(read: asyncio.Task[bytes]) -> None:
-        if not read.cancelled() and (read.exception() is not None or not read.result()):
-            task.cancel()
+    async def cancel_at_end() -> None:
+        # Reading would take bytes of the next request.
+        while not reader.at_eof() and reader.exception() is None:
+            await asyncio.sleep(CLOSED_CHECK_INTERVAL)
+        task.cancel()
 
-    reading = asyncio.create_task(reader.read(READ_SIZE))
-    reading.add_done_callback(check_closed)
+    watching = asyncio.create_task(cancel_at_end())
     try:
         yield
     finally:
-        reading.remove_done_callback(check_closed)
-        reading.cancel()
+        watching.cancel()
 
 
 class Server:
--- a/trials/rig.py
+++ b/trials/rig.py
@@ -65,8 +65,8 @@
         self.cluster, self.number = cluster, number
         self.host = loopback_host(1 + number)
         self.zone = ZONES[number % len(ZONES)]
-        port, self.admin_port, self.fleet_port = free_ports(self.host, 3)
-        super().__init__(f"n{number}", f"{self.host}:{port}", cluster.folder, cluster.root)
+        self.port, self.admin_port, self.fleet_port = free_ports(self.host, 3)
+        super().__init__(f"n{number}", f"{self.host}:{self.port}", cluster.folder, cluster.root)
         self.memory_mb = 192.0
         self.clock_offset = 0.0  # seconds by which its wall clock is ahead
         self.relays: list[Relay] = []
