From the head of a response on only the endpoint or the client ends the exchange

Cause: a response counted as begun with the first byte of its body. `ResponseReader._receive` waited for it with the exchange's deadline, and `Dispatch` gave the request up at the same time; both are the objective, not the client's time. A lone head could neither begin a relay (`_relay_deadline` asked for a byte of the body; a known length began none) nor move that time. Change: the head of a successful response moves the exchange's and the request's end to the client's deadline (`Exchange.head_received`, `Attempt.head_received`); no attempt, hedge or retry starts later than before. What may be long (over 64 KiB, or of unknown length) begins for the client with its first bytes or, at half the objective, with its head, as `ResponseStarted`. The attempt succeeds with the first byte of the body, so that an endpoint that sends heads alone does not look quick; a head counts as a sign of life. No byte of a body is passed on while it may be a copy's: the head tells nothing of another client's. A status that is no success is reported with the head, and the body discarded: a rejection whose body was late counted as timed out, which may have run.

--- a/starlingwheel/decisions/balancer.py
+++ b/starlingwheel/decisions/balancer.py
@@ -142,6 +142,10 @@
         """
         self.load.note_started(attempt)
 
+    def head_received(self, attempt: Attempt) -> None:
+        """Record that an endpoint has begun to respond."""
+        self.outcomes.record_head(attempt)
+
     def attempt_ended(self, event: AttemptEnded) -> None:
         """Record the end of an attempt."""
         self.outcomes.record_attempt(event)
--- a/starlingwheel/decisions/dispatch.py
+++ b/starlingwheel/decisions/dispatch.py
@@ -100,6 +100,7 @@
         "max_checks",
         "hedges_sent",
         "hedge_delays",
+        "start_until",
         "give_up_at",
     )
 
@@ -111,7 +112,7 @@
         request.preferred_cell = dispatcher.endpoints.preferred_cell(request.key)
         self.hedges_sent, self.hedge_delays = 0, 1
         self.max_checks = dispatcher.polling.checks_for(request.request_class)
-        self.give_up_at = inf
+        self.start_until = self.give_up_at = inf
 
     def run(self) -> DecisionCoroutine:
         """Run attempts, hedges and retries, then give the final answer."""
@@ -124,9 +125,7 @@
                     return
                 if result is None and not self._is_pending():
                     break
-            hedge_at = self.dispatcher.hedging.due_at(
-                self.request, self.attempts, self.hedges_sent, self.hedge_delays
-            )
+            hedge_at = self._hedge_at()
             event = yield Wait(min(hedge_at, self.give_up_at))
             self._update_give_up_time()
             if event is None or isinstance(event, HealthCheckEnded):
@@ -137,10 +136,24 @@
                 return
         yield from self._answer()
 
+    def _hedge_at(self) -> float:
+        """Return the time at which hedging is next considered, or infinity."""
+        hedge_at = self.dispatcher.hedging.due_at(
+            self.request, self.attempts, self.hedges_sent, self.hedge_delays
+        )
+        return hedge_at if hedge_at < self.start_until else inf
+
     def _update_give_up_time(self) -> None:
-        """Determine the time again at which the request is given up: it moves while a long body arrives."""
+        """Determine again until when attempts start, and when the request is given up.
+
+        Both move while a long body arrives. A response that has begun is awaited until the deadline: an
+        endpoint that is sending it must not be cut off for the objective.
+        """
+        latest_start = self._latest_start()
         give_up_at = self.dispatcher.admission.give_up_at(self.request, self.objective)
-        self.give_up_at = min(give_up_at, self._latest_start())
+        self.start_until = min(give_up_at, latest_start)
+        responding = any(attempt.pending and attempt.head_received for attempt in self.attempts)
+        self.give_up_at = min(self.request.deadline, latest_start) if responding else self.start_until
 
     def _latest_start(self) -> float:
         """Return until when an endpoint may still get the end of the request, if the process is stopping.
@@ -178,7 +191,7 @@
             return NextStep.END
         if self._is_pending():
             return NextStep.WAIT
-        may_retry = self.clock.now < self.give_up_at and self._may_retry()
+        may_retry = self.clock.now < self.start_until and self._may_retry()
         return NextStep.ATTEMPT if may_retry else NextStep.ANSWER
 
     def _attempt(self) -> DecisionCoroutine:
@@ -191,9 +204,9 @@
             return stats
         self._update_give_up_time()
         now = self.clock.now
-        if now >= self.give_up_at or not self.dispatcher.lease.allows(now):
+        if now >= self.start_until or not self.dispatcher.lease.allows(now):
             return None
-        attempt = yield StartAttempt(stats, self.give_up_at - now, self.dispatcher.load.of(stats))
+        attempt = yield StartAttempt(stats, self.start_until - now, self.dispatcher.load.of(stats))
         self.dispatcher.note_attempt(attempt)
         self.attempts.append(attempt)
         yield from self.dispatcher.gossip.flush()
@@ -204,7 +217,7 @@
         if self.max_checks and not self.attempts:
             return (
                 yield from self.dispatcher.polling.select_endpoint(
-                    self.request, objective.seconds, objective.priority, self.max_checks, self.give_up_at
+                    self.request, objective.seconds, objective.priority, self.max_checks, self.start_until
                 )
             )
         return self.dispatcher.selector.select_endpoint(
--- a/starlingwheel/decisions/model.py
+++ b/starlingwheel/decisions/model.py
@@ -92,6 +92,7 @@
     started_at: float
     load: float = 0.0
     pending: bool = True
+    head_received: bool = False  # the head of a successful response has come, the rest not yet
     outcome: AttemptOutcome | None = None
 
     @property
--- a/starlingwheel/decisions/outcomes.py
+++ b/starlingwheel/decisions/outcomes.py
@@ -61,6 +61,10 @@
             if unresponsive:
                 self.outliers.note_outcome(stats, failed=True, unresponsive=True)
 
+    def record_head(self, attempt: Attempt) -> None:
+        """Record the head of a successful response: its endpoint responds, but has not succeeded yet."""
+        attempt.endpoint.last_response_at = self.clock.now
+
     def _note_connection(self, stats: EndpointStats, outcome: AttemptOutcome) -> None:
         single_stream = self.config.streams_per_connection == 1
         if outcome in RESPONDED:
--- a/starlingwheel/decisions/scheduler.py
+++ b/starlingwheel/decisions/scheduler.py
@@ -167,6 +167,13 @@
             scheduled.answered = True
         self._resume(scheduled, event)
 
+    def head_received(self, attempt: Attempt) -> None:
+        """Handle the head of a successful response, of which the client has got nothing yet."""
+        if attempt.pending:
+            attempt.head_received = True
+            self.balancer.head_received(attempt)
+            self._resume_request(attempt.request, None)
+
     def response_started(self, attempt: Attempt) -> None:
         """Handle the start of a streamed response."""
         self._resume_request(attempt.request, ResponseStarted(attempt))
--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -27,6 +27,8 @@
     GossipReceived,
     RequestBodyComplete,
     RequestReceived,
+    ResponseHeadReceived,
+    ResponseStarted,
     ShutdownStarted,
     StartExchange,
 )
@@ -42,7 +44,7 @@
     match message:
         case RequestReceived(pending) | RequestBodyComplete(pending) | ClientDisconnected(pending):
             return pending
-        case ExchangeEnded(exchange):
+        case ExchangeEnded(exchange) | ResponseHeadReceived(exchange) | ResponseStarted(exchange):
             return exchange.pending
     return None
 
@@ -96,8 +98,8 @@
                 # The timeout of the request counts from the arrival of its last byte.
                 pending.request.arrived_at = self.scheduler.now
                 self.scheduler.request_body_complete(pending.request, list(pending.exchanges))
-            case ExchangeEnded(exchange, outcome, load_report, response):
-                self._exchange_ended(exchange, outcome, load_report, response)
+            case ResponseHeadReceived() | ResponseStarted() | ExchangeEnded():
+                self._handle_response(message)
             case ClientDisconnected(pending):
                 self._client_disconnected(pending)
             case EndpointsChanged(event, endpoints):
@@ -109,6 +111,16 @@
             case ShutdownStarted(answer_by):
                 self.scheduler.begin_shutdown(answer_by)
 
+    def _handle_response(self, message: ResponseHeadReceived | ResponseStarted | ExchangeEnded) -> None:
+        match message:
+            case ResponseHeadReceived(exchange):
+                if exchange.attempt is not None:
+                    self.scheduler.head_received(exchange.attempt)
+            case ResponseStarted(exchange, response):
+                self._response_started(exchange, response)
+            case ExchangeEnded(exchange, outcome, load_report, response):
+                self._exchange_ended(exchange, outcome, load_report, response)
+
     def _timer_due(self) -> None:
         if self.restart_at <= self.scheduler.now:
             self.restart_at = inf
@@ -125,6 +137,15 @@
         self.scheduler.client_disconnected(pending.request)
         self._forget_if_finished(pending)
 
+    def _response_started(self, exchange: Exchange, response: UpstreamResponse) -> None:
+        """Give a response that is still arriving as the final one; its exchange goes on."""
+        attempt, pending = exchange.attempt, exchange.pending
+        if attempt is None or pending is None or not pending.awaits_response:
+            response.body.release()
+            return
+        self._send_final_response(pending, FinalResponse(200, response), "finished")
+        self.scheduler.response_started(attempt)
+
     def _exchange_ended(
         self,
         exchange: Exchange,
--- a/starlingwheel/net/http/http1.py
+++ b/starlingwheel/net/http/http1.py
@@ -16,16 +16,19 @@
     CancelExchange,
     ConnectionIdle,
     ExchangeEnded,
+    ResponseHeadReceived,
+    ResponseStarted,
     StartExchange,
 )
-from ..state.requests import Exchange
+from ..state.requests import Exchange, UpstreamResponse
 from .endpoint_connection import EndpointConnection
 from .errors import CloseReason, ConnectionLostError
+from .exchange_events import next_socket_event
 from .load_report import extract_load_report
 from .request_writer import RequestWriter
 from .response_attribution import MAX_COPY_DELAY, ResponseAttribution, class_name_of
 from .timing import connect_deadline, fault_recurrence_deadline, idle_deadline
-from .upstream_response import ExchangeResult, ResponseReader, next_socket_event, response_outcome
+from .upstream_response import ExchangeResult, ResponseReader
 
 if TYPE_CHECKING:
     from ..context import SidecarContext
@@ -160,9 +163,7 @@
         self.attribution.begin(exchange, no_input_at)
         yield from self.writer.send(exchange)
         self.stream.wait_for(READ)
-        reader = self.reader = ResponseReader(
-            self.context, self.stream, exchange, self._report, self.attribution
-        )
+        reader = self.reader = ResponseReader(self.context, self.stream, exchange, self, self.attribution)
         head = yield from reader.read()
         return self._finish_exchange(exchange, reader, head)
 
@@ -179,15 +180,30 @@
                 self.reason = self._note_unsolicited_bytes()
         else:
             self.reason = CloseReason.UPSTREAM_CLOSES
-        outcome = response_outcome(head.status_code, reader.headers)
+        outcome = reader.outcome
         self.last_was_health_check = exchange.pending is None
         self.exchange_count += 1
-        relayed = self.exchange is None
-        if not relayed and outcome is AttemptOutcome.SUCCESS and exchange.pending is not None:
+        if reader.relay is None and outcome is AttemptOutcome.SUCCESS and exchange.pending is not None:
             return ExchangeResult(outcome, report, reader.take_body())
         reader.body.release()
         return ExchangeResult(outcome, report)
 
+    # Called by the reader (`ResponseObserver`).
+
+    def head_received(self) -> None:
+        """Tell the coordinator that the endpoint has begun a successful response."""
+        if self.exchange is not None:
+            self.context.coordinator.post(ResponseHeadReceived(self.exchange))
+
+    def relay_started(self, response: UpstreamResponse) -> None:
+        """Have the coordinator pass a response to the client while it arrives."""
+        if self.exchange is not None:
+            self.context.coordinator.post(ResponseStarted(self.exchange, response))
+
+    def result_known(self, result: ExchangeResult) -> None:
+        """Report the result, while the rest of the response is still to be read."""
+        self._report(result)
+
     def _report(self, result: ExchangeResult) -> None:
         """Report the result of the exchange, unless it has been reported."""
         if self.exchange is not None:
--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -31,9 +31,10 @@
 from .endpoint_connection import EndpointConnection
 from .errors import CloseReason, ConnectionLostError
 from .load_report import extract_load_report
+from .response_head import response_outcome
 from .timing import connect_deadline, idle_deadline
 from .upstream_request import build_request
-from .upstream_response import ExchangeResult, response_outcome
+from .upstream_response import ExchangeResult
 
 if TYPE_CHECKING:
     from ..context import SidecarContext
--- a/starlingwheel/net/http/request_writer.py
+++ b/starlingwheel/net/http/request_writer.py
@@ -15,9 +15,9 @@
 from ..state.body_stream import BodyStream
 from ..state.requests import Exchange
 from .errors import CloseReason, ConnectionLostError
+from .exchange_events import next_exchange_event
 from .timing import fault_recurrence_deadline
 from .upstream_request import build_request
-from .upstream_response import next_exchange_event
 
 if TYPE_CHECKING:
     from ..actor import Coroutine
--- a/starlingwheel/net/http/response_attribution.py
+++ b/starlingwheel/net/http/response_attribution.py
@@ -11,6 +11,9 @@
   copy of an earlier one can still have been on its way when the request was written,
 - or its status or body differs from those of each response since the connection has last rested.
 
+While the head of a response, or the first bytes of its body, could be those of a copy, no byte of its body is
+passed on.
+
 Whether a connection has rested depends on one assumption: a copy is sent no later than `MAX_COPY_DELAY` after
 the response, and takes at most `MAX_PASSAGE_VARIATION` longer on its way than the response did. A copy that
 was seen to come later than that makes the rest of its endpoint's connections longer (`RequiredRest`).
@@ -127,14 +130,26 @@
             self.prefix += bytes(data[: COMPARED_PREFIX - len(self.prefix)])
 
     def check(self, status: int, length: int | None) -> None:
-        """Check a response that is complete or is to be relayed; `length` is that of its body, if known.
+        """Check a response by its status and the body so far; `length` is that of its body, if known.
 
         Raises `ConnectionLostError` if it may be a copy of an earlier response.
         """
-        if not self.rested and any(self._may_equal(earlier, status, length) for earlier in self.earlier):
+        if self._may_be_copy(status, length):
             self.context.response_variety.add_equal(self.class_name)
             raise ConnectionLostError(CloseReason.RESPONSE_NOT_ATTRIBUTED)
 
+    def is_certain(self, status: int, length: int | None) -> bool:
+        """Return whether a response that is not complete belongs to the request for certain.
+
+        False if what is still to come will tell. Raises `ConnectionLostError` if it can't.
+        """
+        if len(self.prefix) >= COMPARED_PREFIX:
+            self.check(status, length)
+        return not self._may_be_copy(status, length)
+
+    def _may_be_copy(self, status: int, length: int | None) -> bool:
+        return not self.rested and any(self._may_equal(earlier, status, length) for earlier in self.earlier)
+
     def accept(self, status: int) -> None:
         """Record a response that has passed the check and is complete."""
         content = ResponseContent(status, self.length, self.prefix)
--- a/starlingwheel/net/http/response_writer.py
+++ b/starlingwheel/net/http/response_writer.py
@@ -82,6 +82,9 @@
                 self.stream.reset_on_close()
                 raise ConnectionLostError(CloseReason.UPSTREAM_BROKE)
             else:
+                yield from self._flush()  # a head may come long before its body
+                if body.sink_notified:
+                    continue
                 self.stream.wait_for(HANGUP)
                 if isinstance(message := (yield None), SocketReady) and message.hung_up:
                     raise ConnectionLostError(CloseReason.CLIENT_LEFT)
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -1,22 +1,27 @@
-"""Reads the response of one HTTP/1.1 exchange: a short body is buffered, a long one is relayed."""
+"""Reads the response of one HTTP/1.1 exchange: a short body is buffered, a long one is relayed.
+
+From the head of a successful response on the exchange has the time of its client, and not that of the latency
+objective. A response of more than `MAX_BUFFERED_BODY`, or of unknown length, begins for the client with its
+first bytes or, if those come late, with its head; from then on only the endpoint or the client ends it.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from math import inf
-from typing import TYPE_CHECKING, overload
+from typing import TYPE_CHECKING, Protocol
 
 import h11
 
 from ...decisions.model import AttemptOutcome
 from ..loop import READ, SocketReady
-from ..messages import CancelExchange
 from ..state.body_stream import MAX_STREAMED_BODY, BodyStream
 from ..state.buffers import MAX_BUFFERED_BODY, BufferedBody, BuffersExhaustedError
 from ..state.requests import Exchange, UpstreamResponse
 from .errors import CloseReason, ConnectionLostError
+from .exchange_events import next_socket_event
 from .load_report import extract_load_report
+from .response_head import response_length, response_outcome
 
 if TYPE_CHECKING:
     from ..actor import Coroutine
@@ -24,7 +29,9 @@
     from .response_attribution import ResponseAttribution
     from .stream import Stream
 
-RELAY_DELAY_FRACTION = 1 / 2  # of the latency objective, after which a response of unknown length is relayed
+# Of the latency objective or, if it is shorter, of the client's time: when a response that may be long is
+# passed on at the latest.
+RELAY_DELAY_FRACTION = 1 / 2
 RELAY_STALL_TIMEOUT = 5.0  # seconds without a byte after which a relayed response counts as lost
 VERSION_PREFIX = b"HTTP/1."
 
@@ -38,77 +45,29 @@
     response: UpstreamResponse | None = None
 
 
-def response_length(response: h11.Response) -> int | None:
-    """Return the length of the body that a response declares, or None if it declares none.
-
-    Raises `ConnectionLostError` for a body whose end can't be determined, or that is too long to be
-    forwarded. A response whose body ends with the connection has to announce the end of the connection:
-    otherwise its head may have been corrupted.
-    """
-    lengths = [value for name, value in response.headers if name == b"content-length"]
-    chunked = any(name == b"transfer-encoding" for name, _ in response.headers)
-    options = [value.lower() for name, value in response.headers if name == b"connection"]
-    closes = b"close" in options or response.http_version == b"1.0"
-    if len(lengths) + chunked != 1 and not (closes and not lengths and not chunked):
-        raise ConnectionLostError(CloseReason.RESPONSE_LENGTH_UNKNOWN)
-    if lengths and int(lengths[0]) > MAX_STREAMED_BODY:
-        raise ConnectionLostError(CloseReason.RESPONSE_TOO_LONG)
-    return int(lengths[0]) if lengths else None
-
-
-def response_outcome(status: int, headers: Mapping[bytes, bytes]) -> AttemptOutcome:
-    """Return the outcome of the attempt that got this response."""
-    if status == 200:
-        return AttemptOutcome.SUCCESS
-    if status in (503, 504) and headers.get(b"x-never-ran") == b"1":
-        return AttemptOutcome.REJECTED
-    return AttemptOutcome.ERROR
-
-
-@overload
-def next_socket_event(
-    exchange: Exchange | None, deadline: float, on_timeout: CloseReason
-) -> Coroutine[SocketReady]: ...
-
-
-@overload
-def next_socket_event(
-    exchange: Exchange | None, deadline: float, on_timeout: CloseReason, pause_at: float
-) -> Coroutine[SocketReady | None]: ...
+class ResponseObserver(Protocol):
+    """What a reader tells its connection before the response is complete."""
 
+    def head_received(self) -> None:
+        """Handle the head of a successful response, the rest of which is still to come."""
 
-def next_socket_event(
-    exchange: Exchange | None, deadline: float, on_timeout: CloseReason, pause_at: float = inf
-) -> Coroutine[SocketReady | None]:
-    """Return the next event of the socket, or None at `pause_at`.
+    def relay_started(self, response: UpstreamResponse) -> None:
+        """Handle the start of a response that is passed to the client while it arrives."""
 
-    Raises `ConnectionLostError` when the exchange is cancelled, and with the reason `on_timeout` at the
-    deadline.
-    """
-    while True:
-        message = yield min(deadline, pause_at)
-        if message is None and pause_at < deadline:
-            return None
-        if message is None:
-            raise ConnectionLostError(on_timeout)
-        if isinstance(message, SocketReady):
-            return message
-        if isinstance(message, CancelExchange) and message.exchange is exchange:
-            raise ConnectionLostError(CloseReason.CANCELLED)
+    def result_known(self, result: ExchangeResult) -> None:
+        """Handle the result of the exchange, which the rest of the response can't change."""
 
 
-def next_exchange_event(exchange: Exchange) -> Coroutine[SocketReady]:
-    """Return the next event of the socket before the exchange's deadline, which may move meanwhile.
+def relay_time(exchange: Exchange, status: int, length: int | None) -> float:
+    """Return the time at which a response is passed on though no byte of its body has come.
 
-    Raises `ConnectionLostError` as `next_socket_event` does.
+    Infinite for one that is known to be short, or is not passed on at all.
     """
-    while True:
-        deadline = exchange.deadline
-        try:
-            return (yield from next_socket_event(exchange, deadline, CloseReason.OVERDUE))
-        except ConnectionLostError as error:
-            if error.reason is not CloseReason.OVERDUE or exchange.deadline <= deadline:
-                raise
+    if exchange.pending is None or status != 200 or (length is not None and length <= MAX_BUFFERED_BODY):
+        return inf
+    request = exchange.pending.request
+    time_left = min(request.request_class.latency_objective, request.time_left)
+    return request.arrived_at + RELAY_DELAY_FRACTION * time_left
 
 
 class ResponseReader:
@@ -118,14 +77,16 @@
         "context",
         "stream",
         "exchange",
-        "on_relay",
+        "observer",
         "attribution",
         "head",
         "headers",
         "length",
+        "outcome",
         "body",
         "relay",
         "is_complete",
+        "is_result_known",
     )
 
     def __init__(
@@ -133,21 +94,21 @@
         context: SidecarContext,
         stream: Stream,
         exchange: Exchange,
-        on_relay: Callable[[ExchangeResult], None],
+        observer: ResponseObserver,
         attribution: ResponseAttribution,
     ) -> None:
-        """Read from `stream`; `on_relay` is called with the final result when relaying the body begins.
-
-        `attribution` has to have begun with the exchange.
-        """
-        self.context, self.stream, self.exchange, self.on_relay = context, stream, exchange, on_relay
+        """Read from `stream`; `attribution` has to have begun with the exchange."""
+        self.context, self.stream, self.exchange, self.observer = context, stream, exchange, observer
         self.attribution = attribution
         self.head: h11.Response | None = None
         self.headers: dict[bytes, bytes] = {}
         self.length: int | None = None
+        self.outcome = AttemptOutcome.ERROR  # by the head
+        # What has come of the body and is not in `relay`; while it may be that of a copy, nothing is.
         self.body = BufferedBody(context.buffer_pool)
+        self.relay: BodyStream | None = None  # set once the response is passed on while it arrives
         self.is_complete = False
-        self.relay: BodyStream | None = None  # replaces `body` once the body is passed on while it arrives
+        self.is_result_known = False  # whether the result has been reported
 
     def read(self) -> Coroutine[h11.Response]:
         """Read the response and return its head; the body is then in `body` or has been relayed.
@@ -159,16 +120,12 @@
             while True:
                 event = self.stream.next_event()
                 if isinstance(event, h11.Response):
-                    head = self.head = event
-                    self.headers = dict(event.headers)
-                    self.length = response_length(event)
+                    head = event
+                    self._note_head(head)
                 elif isinstance(event, h11.Data):
                     self._add(event.data)
                 elif isinstance(event, h11.EndOfMessage):
-                    self._check_complete(head)
-                    if self.relay is not None:
-                        self.relay.end()
-                    self.is_complete = True
+                    self._complete(head)
                     return head
                 elif isinstance(event, h11.ConnectionClosed):
                     raise ConnectionLostError(CloseReason.UPSTREAM_CLOSED)
@@ -190,56 +147,116 @@
     def take_body(self) -> UpstreamResponse:
         """Return the buffered body as the response of the exchange, which then owns it."""
         body, self.body = self.body, BufferedBody(self.context.buffer_pool)
-        return UpstreamResponse(body, self.headers.get(b"content-type", b""))
+        return UpstreamResponse(body, self._content_type)
 
-    def _check_complete(self, head: h11.Response) -> None:
-        """Raise `ConnectionLostError` for a response that may be a copy of the one before.
+    @property
+    def _content_type(self) -> bytes:
+        return self.headers.get(b"content-type", b"")
 
-        A relayed response was checked before its relay began.
-        """
-        if self.relay is None:
-            self.attribution.check(head.status_code, self.attribution.length)
-        self.attribution.accept(head.status_code)
+    # What has been read.
+
+    def _note_head(self, head: h11.Response) -> None:
+        self.head, self.headers = head, dict(head.headers)
+        self.length = response_length(head)
+        self.outcome = response_outcome(head.status_code, self.headers)
 
     def _add(self, data: bytes | bytearray) -> None:
         self.attribution.add_body(data)
-        expected = max(self.length or 0, self.body.length + len(data))
+        expected = max(self.length or 0, self.attribution.length)
         if self.relay is None and expected > MAX_BUFFERED_BODY:
-            self._begin_relay()
-        if self.relay is not None and self.relay.total + len(data) > MAX_STREAMED_BODY:
+            self._begin_long_body()
+        if self.attribution.length > MAX_STREAMED_BODY:
             raise ConnectionLostError(CloseReason.RESPONSE_TOO_LONG)
         try:
-            (self.body if self.relay is None else self.relay).add(data)
+            self._store(data)
         except BuffersExhaustedError:
             raise ConnectionLostError(CloseReason.NO_BUFFERS) from None
 
+    def _begin_long_body(self) -> None:
+        """Begin to relay a body that is too long to buffer, unless it may be that of a copy."""
+        if self.exchange.pending is None or self.outcome is not AttemptOutcome.SUCCESS:
+            raise ConnectionLostError(CloseReason.RESPONSE_TOO_LONG)
+        if self._is_attributed():
+            self._begin_relay()
+
+    def _store(self, data: bytes | bytearray) -> None:
+        """Add data to the relay once it is certain that it belongs to this request."""
+        if self.relay is not None and self._is_attributed():
+            self._pass_on_body(self.relay)
+            self.relay.add(data)
+            self._report_result()
+        elif self.relay is not None or not self.is_result_known:
+            self.body.add(data)
+
+    def _pass_on_body(self, relay: BodyStream) -> None:
+        """Add to the relay what was kept back of the body."""
+        for view in self.body.views():
+            relay.add(bytes(view))
+        self.body.release()
+
+    def _is_attributed(self) -> bool:
+        """Return whether the response belongs to the request for certain.
+
+        False if that is not known yet; raises `ConnectionLostError` if nothing will tell it from a copy.
+        """
+        return self.head is not None and self.attribution.is_certain(self.head.status_code, self.length)
+
+    def _complete(self, head: h11.Response) -> None:
+        """Handle the end of the response. Raises `ConnectionLostError` if it may be a copy."""
+        self.attribution.check(head.status_code, self.attribution.length)
+        if self.relay is not None:
+            self._pass_on_body(self.relay)
+            self.relay.end()
+        self.attribution.accept(head.status_code)
+        self.is_complete = True
+
+    # Passing the response on, or its result.
+
     def _begin_relay(self) -> None:
-        """Pass the body to the client while it arrives.
+        """Pass the response to the client while it arrives.
 
-        With its first bytes this is the final response, which from now on only the endpoint or the client can
-        end.
+        It is the final one, which from now on only the endpoint or the client can end. The head tells nothing
+        that belongs to another client; the body is passed on once it is certain whose it is.
         """
-        exchange, head = self.exchange, self.head
-        if head is None or exchange.pending is None:
-            raise ConnectionLostError(CloseReason.RESPONSE_TOO_LONG)
-        outcome = response_outcome(head.status_code, self.headers)
-        if outcome is not AttemptOutcome.SUCCESS:
-            raise ConnectionLostError(CloseReason.RESPONSE_TOO_LONG)
-        self.attribution.check(head.status_code, self.length)
-        report = extract_load_report(head.headers, exchange, self.body)
-        received, self.body = self.body, BufferedBody(self.context.buffer_pool)
+        received = BufferedBody(self.context.buffer_pool)
+        if self._is_attributed():
+            received, self.body = self.body, received
         self.relay = BodyStream(self.context.buffer_pool, self.stream.actor, self.length, received)
-        response = UpstreamResponse(self.relay, self.headers.get(b"content-type", b""))
-        self.on_relay(ExchangeResult(outcome, report, response))
+        self.observer.relay_started(UpstreamResponse(self.relay, self._content_type))
+        if received.length:
+            self._report_result()
+
+    def _report_result(self) -> None:
+        """Report the result, unless that has been done."""
+        if not self.is_result_known and self.head is not None:
+            self.is_result_known = True
+            report = extract_load_report(self.head.headers, self.exchange, self.body)
+            self.observer.result_known(ExchangeResult(self.outcome, report))
+
+    def _act_on_head(self) -> None:
+        """Report what the head tells, as the rest of the response is still to come."""
+        if self.exchange.pending is None:
+            return
+        if self.outcome is not AttemptOutcome.SUCCESS:
+            # The client gets nothing of this response, so the next step need not wait for its end.
+            if self._is_attributed():
+                self._report_result()
+        elif not self.exchange.head_received:
+            self.exchange.head_received = True
+            self.observer.head_received()
+
+    # Waiting for more.
 
     def _receive(self) -> Coroutine[None]:
         """Wait for more of the response and read it; begin to relay a response that takes long."""
         if self.head is None:
             self._check_prefix()
+        else:
+            self._act_on_head()
         if self.relay is not None:
             yield from self._receive_for_relay(self.relay)
             return
-        relay_at = self._relay_deadline() if self.length is None else inf
+        relay_at = inf if self.head is None else relay_time(self.exchange, self.head.status_code, self.length)
         deadline = self.exchange.deadline
         ready = yield from next_socket_event(self.exchange, deadline, CloseReason.OVERDUE, relay_at)
         if ready is None:
@@ -270,14 +287,3 @@
             raise ConnectionLostError(CloseReason.RELAY_STALLED)
         if isinstance(message, SocketReady):
             self.stream.read()
-
-    def _relay_deadline(self) -> float:
-        """Return the time at which relaying a response of unknown length begins, as the response may be long.
-
-        A response whose first bytes arrive in time is then not given up as late.
-        """
-        pending, head = self.exchange.pending, self.head
-        if head is None or pending is None or head.status_code != 200 or not self.body.length:
-            return inf
-        request = pending.request
-        return request.arrived_at + RELAY_DELAY_FRACTION * request.request_class.latency_objective
--- a/starlingwheel/net/messages.py
+++ b/starlingwheel/net/messages.py
@@ -37,6 +37,24 @@
     pending: PendingRequest
 
 
+@dataclass(slots=True, eq=False)
+class ResponseHeadReceived:
+    """To the coordinator: the head of a successful response has come, and the rest is still to come."""
+
+    exchange: Exchange
+
+
+@dataclass(slots=True, eq=False)
+class ResponseStarted:
+    """To the coordinator: a response is passed to the client from now on, while it arrives.
+
+    The exchange goes on; `ExchangeEnded` follows with the first byte of the body, or without one.
+    """
+
+    exchange: Exchange
+    response: UpstreamResponse
+
+
 @dataclass(slots=True, eq=False)
 class ExchangeEnded:
     """To the coordinator: an attempt or a health check has ended on the wire."""
--- a/starlingwheel/net/state/requests.py
+++ b/starlingwheel/net/state/requests.py
@@ -66,12 +66,18 @@
     # Whether the endpoint may have run the request: from its last byte on over HTTP/1.1, from its first frame
     # on over HTTP/2.
     written: bool = False
+    # Whether the head of a successful response has come; the exchange then has the time of its client.
+    head_received: bool = False
     admitted_at: float = 0.0  # when the gate admitted it; 0: not yet, or its first byte has been written
 
     @property
     def deadline(self) -> float:
         """The time at which the exchange ends; that of a long request moves while its body arrives."""
-        if self.pending is None or self.body_stream is None:
+        if self.pending is None:
+            return self.timeout_at
+        if self.head_received:
+            return self.pending.request.deadline
+        if self.body_stream is None:
             return self.timeout_at
         return min(self.timeout_at, self.pending.request.deadline)
 
--- a/tests/decisions/test_dispatch.py
+++ b/tests/decisions/test_dispatch.py
@@ -79,3 +79,41 @@
     request = host.submit(late, time_left=6.0)
     host.advance(1.0)
     assert host.answers_to(request) == [AnswerKind.REJECTED]
+
+
+def test_a_response_that_has_begun_is_awaited_until_the_deadline(host: FakeHost) -> None:
+    """Its endpoint is sending it: at the objective it would be cut off."""
+    request = host.submit(BUY)
+    host.scheduler.head_received(host.attempts_of(request)[0])
+    host.advance(1.9)
+    assert host.answers_to(request) == [] and not host.cancelled
+    host.advance(0.2)
+    assert host.answers_to(request) == [AnswerKind.FAILED]
+
+
+def test_no_attempt_starts_after_the_objective_though_a_response_has_begun(host: FakeHost) -> None:
+    """Its own response would be late, and takes capacity from requests that can still be in time."""
+    host.serve(110)
+    request = host.submit()
+    first = host.attempts_of(request)[0]
+    host.scheduler.head_received(first)
+    host.advance(0.97)
+    sent = len(host.attempts_of(request))
+    host.advance(0.5)
+    host.end_attempt(first, AttemptOutcome.RESET)
+    assert len(host.attempts_of(request)) == sent
+    for hedge in host.attempts_of(request)[1:]:
+        host.end_attempt(hedge, AttemptOutcome.TIMED_OUT)
+    assert host.answers_to(request) == [AnswerKind.REJECTED]
+
+
+def test_a_request_is_given_up_at_its_objective_once_the_begun_response_has_failed(host: FakeHost) -> None:
+    """The attempts that are left have the objective, as if none had begun."""
+    host.serve(110)
+    request = host.submit()
+    host.advance(0.5)
+    first, _ = host.attempts_of(request)
+    host.scheduler.head_received(first)
+    host.end_attempt(first, AttemptOutcome.RESET)
+    host.advance(0.5)
+    assert host.answers_to(request) == [AnswerKind.REJECTED]
--- a/tests/test_late_bodies.py
+++ b/tests/test_late_bodies.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import signal
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -24,7 +25,7 @@
 METHODS = {"read": "GET", "pay": "POST", "change": "POST"}
 TIMEOUT = 1.4  # seconds for which clients wait
 LATE = 0.5  # seconds between a head and its body; longer than each objective
-LONG = 130_000  # bytes of a body
+LONG, SHORT = 130_000, 900  # bytes of a body
 REPEATS = 4  # requests of each class and framing
 
 
@@ -99,3 +100,37 @@
 
     play(scenario)
     assert not broken, f"{len(broken)} of {len(METHODS) * len(Framing) * REPEATS}: {broken}"
+
+
+@pytest.mark.xdist_group("trials-1")
+def test_a_short_response_that_has_begun_has_the_time_of_its_client() -> None:
+    """Up to 64 KiB the last byte counts, and only the client's time bounds it."""
+
+    async def scenario(sidecar: SingleSidecar, plan: Plan) -> None:
+        for framing in Framing:
+            for category in METHODS:
+                trace = f"{category}-{framing.value}"
+                plan.deliveries[trace] = Delivery(framing, body_delay=LATE), SHORT
+                received = await ask(sidecar.address, category, trace)
+                assert (received.status, received.body) == (200, body_for(trace, SHORT)), trace
+
+    play(scenario)
+
+
+@pytest.mark.xdist_group("trials-1")
+def test_a_late_body_arrives_whole_though_the_process_is_stopped_meanwhile() -> None:
+    """After SIGTERM a response that has begun goes on until the kill, which comes 0.7 s after its time."""
+
+    async def scenario(sidecar: SingleSidecar, plan: Plan) -> None:
+        tasks = []
+        for framing in Framing:
+            trace = f"pay-{framing.value}"
+            plan.deliveries[trace] = Delivery(framing, body_delay=2 * LATE, rate=LONG / LATE), LONG
+            tasks.append(asyncio.create_task(ask(sidecar.address, "pay", trace)))
+        await asyncio.sleep(LATE / 2)
+        sidecar.process.signal(signal.SIGTERM)
+        for framing, received in zip(Framing, await asyncio.gather(*tasks), strict=True):
+            assert (received.status, len(received.body)) == (200, LONG), framing
+            assert received.is_complete
+
+    play(scenario)
