A request's id that may have run does not run again, whoever sends it and at which process

Cause: `active_traces` knows an id only while its client waits: it was free as soon as the client had left, although the attempt may have run, and the other process of the sidecar never knew it. Invariant: from its acceptance until it is known not to have run, or a rejection has promised that, an id that must not run twice belongs to one request. A repeat gets 409, which promises nothing. Idempotent requests may come again; so may ids of requests that were rejected, or of which no endpoint got what it needs to run them, which covers what a close crossed unread. Tests: the harness of the suite sent all requests under one id, against the protocol ("new with every request"); it now numbers them, no assertion changes. The test of an id in use names its id.

--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -7,6 +7,7 @@
 
 from math import inf
 
+from ..decisions.config import RetrySafety
 from ..decisions.endpoint_stats import EndpointStats
 from ..decisions.events import AttemptEnded, WatchEvent
 from ..decisions.model import Attempt, AttemptOutcome, Request
@@ -34,6 +35,7 @@
 )
 from .state.requests import Exchange, PendingRequest, UpstreamResponse
 
+CONFLICT = 409
 SERVICE_UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 HEALTH_CHECK_TIMEOUT_FRACTION = 1 / 2  # of the shortest latency objective
@@ -92,8 +94,7 @@
             case None:
                 self._timer_due()
             case RequestReceived(pending):
-                self.pending_requests[pending.request] = pending
-                self.scheduler.accept_request(pending.request)
+                self._accept_request(pending)
             case RequestBodyComplete(pending):
                 # The timeout of the request counts from the arrival of its last byte.
                 pending.request.arrived_at = self.scheduler.now
@@ -129,6 +130,29 @@
             self.alarm_at = inf
             self.scheduler.tick()
 
+    def _accept_request(self, pending: PendingRequest) -> None:
+        """Dispatch a request, unless it must not run twice and its id may have run already."""
+        if pending.request.request_class.retry_safety is not RetrySafety.IDEMPOTENT:
+            if not self.context.claim_id(pending.trace_id):
+                self._reject_repeated_id(pending)
+                return
+            pending.id_claimed = True
+        self.pending_requests[pending.request] = pending
+        self.scheduler.accept_request(pending.request)
+
+    def _reject_repeated_id(self, pending: PendingRequest) -> None:
+        """Answer 409, which does not promise that the request has had no effect."""
+        trace = pending.trace_id.decode("latin-1")
+        self.context.log("request.unfit", status=CONFLICT, reason="x-trace-id may have run", trace=trace)
+        self._send_final_response(pending, FinalResponse(CONFLICT), "written_off")
+        pending.body.release()
+
+    def _release_id(self, pending: PendingRequest) -> None:
+        """Let the id of a request be used again."""
+        if pending.id_claimed:
+            pending.id_claimed = False
+            self.context.release_id(pending.trace_id)
+
     def _client_disconnected(self, pending: PendingRequest) -> None:
         if not pending.awaits_response:
             return
@@ -160,6 +184,7 @@
             return
         del pending.exchanges[attempt]
         if not outcome.never_ran:
+            pending.was_sent = pending.was_sent or exchange.written
             pending.may_have_run = True
             pending.first_may_have_run_at = min(pending.first_may_have_run_at, exchange.started_at)
         if response is not None:
@@ -237,6 +262,7 @@
             self.fail_request(request)
             return
         self.context.gate.record_rejection()
+        self._release_id(pending)
         response = FinalResponse(SERVICE_UNAVAILABLE, retry_after=retry_after)
         self._send_final_response(pending, response, "deferred")
         self._forget_if_finished(pending)
@@ -304,3 +330,5 @@
             return
         if self.pending_requests.pop(pending.request, None) is not None:
             pending.body.release()
+            if not pending.was_sent:
+                self._release_id(pending)
--- a/starlingwheel/net/lifecycle/sidecar.py
+++ b/starlingwheel/net/lifecycle/sidecar.py
@@ -118,6 +118,7 @@
             context.siblings = SiblingProcesses(folder)
         except OSError as error:
             context.log("beside.failed", error=str(error))
+        context.share_ids(folder)
         context.check_siblings()
 
     def _log_start(self) -> None:
--- a/starlingwheel/net/state/requests.py
+++ b/starlingwheel/net/state/requests.py
@@ -42,6 +42,8 @@
     body: BufferedBody | BodyStream
     trace_id: bytes
     awaits_response: bool = True  # its client is still waiting for the final response
+    id_claimed: bool = False  # its id must not be used by another request
+    was_sent: bool = False  # an endpoint got all that it needs to run it, and did not say that it has not
     may_have_run: bool = False  # an attempt that has ended may have had an effect
     first_may_have_run_at: float = inf  # when the first such attempt was started
     exchanges: dict[Attempt, Exchange] = field(default_factory=dict)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -110,6 +110,7 @@
     ) -> None:
         """Start a sidecar with `upstreams` endpoints; `config` overrides fields of its configuration."""
         self.closeables: list[Closeable] = []
+        self.request_count = 0
         self.listeners = [self.close_at_end(bound_socket()) for _ in range(upstreams)]
         self.discovery, self.peer = (
             self.close_at_end(bound_socket()),
@@ -203,7 +204,9 @@
     ) -> bytes:
         """Return the bytes of a request; `request_line` overrides its first line, None omits a header."""
         method = "GET" if category == "look" else "POST"
-        fields = {"host": "a", "x-trace-id": "t1", "x-qos": category, "x-expires-in-ms": "1900"}
+        self.request_count += 1
+        trace = "t1" if self.request_count == 1 else f"t1-{self.request_count}"  # new with every request
+        fields = {"host": "a", "x-trace-id": trace, "x-qos": category, "x-expires-in-ms": "1900"}
         if body:
             fields["content-length"] = str(len(body))
         if category == "move":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -505,10 +505,10 @@
 
 def test_a_trace_id_in_use_is_rejected(harness: SidecarHarness) -> None:
     """A second request with the id gets 409; the id is free again once the first request has ended."""
-    client = harness.send_request("buy", b"one")
+    client = harness.send_request("buy", b"one", x_trace_id="t1")
     upstream = harness.accept()
     harness.read_request(upstream)
-    assert harness.read_status(harness.send_request("buy", b"two")) == 409
+    assert harness.read_status(harness.send_request("buy", b"two", x_trace_id="t1")) == 409
     harness.send_response(upstream)
     assert harness.read_status(client) == 200
     assert not harness.context.active_traces
