Over HTTP/2 long responses are passed on while they arrive, and begun ones are not reset

Found as a related path, not reported. Cause: `Http2Connection` had neither a relay nor the head as the begin of a response. Change: the same rules as over HTTP/1.1 (`relay_time`, `Exchange.head_received`, `RELAY_STALL_TIMEOUT`); a relayed stream gets its window back as its client reads, the connection's window at once, so that a slow client holds up its own response only. A status that is no success ends the stream with the head. State and rules of a stream are in http2_stream.py.

--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import contextlib
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -24,14 +24,21 @@
 from ...decisions.model import AttemptOutcome
 from ..actor import Coroutine
 from ..loop import READ, WRITE, SocketReady
-from ..messages import CLOSE, CancelExchange, ExchangeEnded, StartExchange
-from ..state.body_stream import BodyStream
+from ..messages import (
+    CLOSE,
+    CancelExchange,
+    ExchangeEnded,
+    ResponseHeadReceived,
+    ResponseStarted,
+    StartExchange,
+)
+from ..state.body_stream import BodyStream, BodyStreamChanged
 from ..state.buffers import BufferedBody, BuffersExhaustedError
 from ..state.requests import Exchange, PendingRequest, UpstreamResponse
 from .endpoint_connection import EndpointConnection
 from .errors import CloseReason, ConnectionLostError
+from .http2_stream import StreamExchange
 from .load_report import extract_load_report
-from .response_head import response_outcome
 from .timing import connect_deadline, idle_deadline
 from .upstream_request import build_request
 from .upstream_response import ExchangeResult
@@ -42,22 +49,9 @@
 
 SETTINGS_FRAME = b"\x04"  # the type of the first frame that an endpoint sends
 FRAME_TYPE_OFFSET = 3  # position of the type in a frame's header, in bytes
-INVALID_STATUS = 1  # stands for a status that is not a number: an error, and the request may have run
 CONNECTION_WINDOW = 1 << 20  # bytes that an endpoint may send ahead on one connection
 
 
-@dataclass(slots=True, eq=False)
-class StreamExchange:
-    """One exchange and the state of its stream."""
-
-    exchange: Exchange
-    stream_id: int
-    body: BufferedBody  # of the response
-    unsent: list[bytes] = field(default_factory=list)  # parts of the request's body
-    status: int = 0  # of the response; 0: the response has not begun
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-
-
 class Http2Connection(EndpointConnection):
     """One HTTP/2 connection from its first exchange to its end; an error on it ends all of its exchanges."""
 
@@ -148,6 +142,8 @@
                 self._start_exchange(exchange)
             case CancelExchange(exchange):
                 self._cancel(exchange, AttemptOutcome.CANCELLED)
+            case BodyStreamChanged():
+                self._relays_changed()
             case _ if message is CLOSE:
                 # Exchanges in progress run to their end; an idle connection ends at once.
                 self.closing = True
@@ -155,13 +151,19 @@
     # Deadlines.
 
     def _next_deadline(self) -> float:
-        exchanges = [*self.waiting, *(stream_exchange.exchange for stream_exchange in self.streams.values())]
-        return min((exchange.deadline for exchange in exchanges), default=inf)
+        deadlines = [exchange.deadline for exchange in self.waiting]
+        deadlines += [stream_exchange.next_deadline for stream_exchange in self.streams.values()]
+        return min(deadlines, default=inf)
 
     def _end_expired(self) -> None:
         now = self.loop.now()
-        for stream_exchange in [e for e in self.streams.values() if e.exchange.deadline <= now]:
-            self._cancel(stream_exchange.exchange, AttemptOutcome.TIMED_OUT)
+        for stream_exchange in [e for e in self.streams.values() if e.next_deadline <= now]:
+            if stream_exchange.relay_at <= now:
+                self._begin_relay(stream_exchange)
+            else:
+                stalled = stream_exchange.relay is not None
+                outcome = AttemptOutcome.RESET if stalled else AttemptOutcome.TIMED_OUT
+                self._cancel(stream_exchange.exchange, outcome)
         for exchange in [e for e in self.waiting if e.deadline <= now]:
             self._cancel(exchange, AttemptOutcome.CONNECT_FAILED)
 
@@ -206,7 +208,7 @@
         self.context.connections.idle_endpoint_connections.pop(self, None)
         exchange.written = True
         self.exchange_count += 1
-        self._send_body(stream_exchange)
+        stream_exchange.send_body(self.http)
 
     def _open_stream(self, exchange: Exchange) -> StreamExchange:
         stream_id = self.http.get_next_available_stream_id()
@@ -232,17 +234,6 @@
             raise TypeError("a body that is still being received can't be sent over HTTP/2")
         return [bytes(view) for view in pending.body.views()]
 
-    def _send_body(self, stream_exchange: StreamExchange) -> None:
-        """Send as much of the body as the flow-control window allows."""
-        stream_id = stream_exchange.stream_id
-        while stream_exchange.unsent:
-            limit = min(self.http.local_flow_control_window(stream_id), self.http.max_outbound_frame_size)
-            if limit <= 0:
-                return
-            piece, rest = stream_exchange.unsent[0][:limit], stream_exchange.unsent[0][limit:]
-            stream_exchange.unsent[:1] = [rest] if rest else []
-            self.http.send_data(stream_id, piece, end_stream=not stream_exchange.unsent)
-
     # Receiving.
 
     def _read(self) -> None:
@@ -266,6 +257,8 @@
             stream_exchange = self.streams.get(getattr(event, "stream_id", None) or 0)
             if stream_exchange is not None:
                 self._handle_stream_event(event, stream_exchange)
+        for stream_exchange in [e for e in self.streams.values() if e.awaits_rest]:
+            self._act_on_head(stream_exchange)
 
     def _check_first_frame(self, data: bytes) -> None:
         """Raise `ConnectionLostError` for input that is not HTTP/2.
@@ -285,23 +278,25 @@
                         # The client may have disconnected, and a `CancelExchange` does not always follow.
                         self._cancel(stream_exchange.exchange, AttemptOutcome.CANCELLED)
                     else:
-                        self._send_body(stream_exchange)
+                        stream_exchange.send_body(self.http)
             case h2.events.ConnectionTerminated():
                 self.closing = True
                 last = event.last_stream_id if event.last_stream_id is not None else 0
                 for stream_exchange in [e for e in self.streams.values() if e.stream_id > last]:
                     self._end_exchange(stream_exchange, AttemptOutcome.REJECTED)
-            case h2.events.DataReceived():
+            case h2.events.DataReceived() if not self._is_relayed(event.stream_id):
                 self.http.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
 
+    def _is_relayed(self, stream_id: int) -> bool:
+        stream_exchange = self.streams.get(stream_id)
+        return stream_exchange is not None and stream_exchange.relay is not None
+
     def _handle_stream_event(self, event: h2.events.Event, stream_exchange: StreamExchange) -> None:
         match event:
             case h2.events.ResponseReceived():
-                status = dict(event.headers)[b":status"]
-                stream_exchange.status = int(status) if status.isdigit() else INVALID_STATUS
-                stream_exchange.headers = [(n, v) for n, v in event.headers if not n.startswith(b":")]
+                stream_exchange.set_head(event.headers)
             case h2.events.DataReceived():
-                self._add_data(stream_exchange, event.data)
+                self._add_data(stream_exchange, event.data, event.flow_controlled_length)
             case h2.events.StreamReset():
                 refused = event.error_code == h2.errors.ErrorCodes.REFUSED_STREAM
                 self._end_exchange(
@@ -311,18 +306,60 @@
                 if stream_exchange.unsent:
                     # The response came before the end of the request, so the rest is not sent.
                     self.http.reset_stream(stream_exchange.stream_id, h2.errors.ErrorCodes.CANCEL)
-                self._end_exchange(
-                    stream_exchange, response_outcome(stream_exchange.status, dict(stream_exchange.headers))
-                )
+                self._end_exchange(stream_exchange, stream_exchange.outcome)
 
-    def _add_data(self, stream_exchange: StreamExchange, data: bytes) -> None:
-        body = stream_exchange.body
+    def _add_data(self, stream_exchange: StreamExchange, data: bytes, window: int) -> None:
+        """Add data of a response, which has used up `window` bytes of the windows."""
+        was_relayed = stream_exchange.relay is not None
+        if stream_exchange.needs_relay(data):
+            self._begin_relay(stream_exchange)
         try:
-            if body.length + len(data) > self.context.buffer_pool.max_body_size:
-                raise BuffersExhaustedError
-            body.add(data)
+            stream_exchange.add(data, self.loop.now(), self.context.buffer_pool.max_body_size)
         except BuffersExhaustedError:
             self._cancel(stream_exchange.exchange, AttemptOutcome.RESET)
+            return
+        if was_relayed:
+            # The others on the connection do not wait for a slow client; only this stream does.
+            self._open_window(window, None)
+            stream_exchange.unacknowledged += window
+            self._relays_changed()
+        if stream_exchange.relay is not None and data:
+            self._report_stream(stream_exchange, stream_exchange.outcome)
+
+    def _act_on_head(self, stream_exchange: StreamExchange) -> None:
+        """Act on the head of a response, the rest of which is still to come."""
+        exchange = stream_exchange.exchange
+        if stream_exchange.outcome is not AttemptOutcome.SUCCESS:
+            # The client gets nothing of this response, so its rest is not needed.
+            self.http.reset_stream(stream_exchange.stream_id, h2.errors.ErrorCodes.CANCEL)
+            self._end_exchange(stream_exchange, stream_exchange.outcome)
+        elif not exchange.head_received:
+            exchange.head_received = True
+            self.context.coordinator.post(ResponseHeadReceived(exchange))
+
+    # Responses that are passed on while they arrive.
+
+    def _begin_relay(self, stream_exchange: StreamExchange) -> None:
+        has_data = bool(stream_exchange.body.length)
+        response = stream_exchange.begin_relay(self, self.loop.now())
+        self.context.coordinator.post(ResponseStarted(stream_exchange.exchange, response))
+        if has_data:
+            self._report_stream(stream_exchange, stream_exchange.outcome)
+
+    def _relays_changed(self) -> None:
+        """Open the window of each relayed response that has room; end those that no client wants."""
+        for stream_exchange in list(self.streams.values()):
+            if stream_exchange.is_unwanted:
+                self._cancel(stream_exchange.exchange, AttemptOutcome.CANCELLED)
+            else:
+                self._open_window(stream_exchange.take_window(self.loop.now()), stream_exchange.stream_id)
+
+    def _open_window(self, size: int, stream_id: int | None) -> None:
+        """Let the endpoint send more on a stream or, with None, on the connection."""
+        # A stream that has ended has no window any more.
+        with contextlib.suppress(h2.exceptions.ProtocolError):
+            if size:
+                self.http.increment_flow_control_window(size, stream_id)
 
     # Ending exchanges and the connection.
 
@@ -332,14 +369,22 @@
         if not self.streams and not self.closing:
             # When descriptors run short, a connection without an exchange is closed to make room.
             self.context.connections.idle_endpoint_connections[self] = None
+        stream_exchange.end_relay(is_complete=outcome is AttemptOutcome.SUCCESS)
+        self._report_stream(stream_exchange, outcome)
+
+    def _report_stream(self, stream_exchange: StreamExchange, outcome: AttemptOutcome) -> None:
+        """Report the result of an exchange, unless that has been done."""
+        if stream_exchange.is_reported:
+            return
+        stream_exchange.is_reported = True
         exchange, body = stream_exchange.exchange, stream_exchange.body
         report: dict[str, float] = {}
         if stream_exchange.status:
             report = extract_load_report(stream_exchange.headers, exchange, body)
         response = None
-        if outcome is AttemptOutcome.SUCCESS and exchange.pending is not None:
-            content_type = dict(stream_exchange.headers).get(b"content-type", b"")
-            response = UpstreamResponse(body, content_type)
+        is_buffered = stream_exchange.relay is None and exchange.pending is not None
+        if outcome is AttemptOutcome.SUCCESS and is_buffered:
+            response = UpstreamResponse(body, stream_exchange.content_type)
         else:
             body.release()
         self._report(exchange, ExchangeResult(outcome, report, response))
