An address belongs to the process that started last, under whichever id it is listed

Cause: nothing compared the addresses of listed ids. While both were listed each was an endpoint of its own, so the new process also got both shares of load, one of them outside its slow start. Invariant: of the ids at one address those are gone whose process started earlier than the latest one there (`EndpointAddresses`, in `EndpointOverrides.effective`, which the coordinator, the pools and the gate go by). Where start times are equal or unknown none is known to be replaced, and all stay.

--- a/starlingwheel/net/gate.py
+++ b/starlingwheel/net/gate.py
@@ -15,7 +15,7 @@
 
 from ..decisions.config import RetrySafety
 from ..decisions.lease import PROCESS_DELAY_MARGIN, EndpointLease, LeaseState
-from .discovery.messages import DRAINING_STATE, DiscoveredEndpoint
+from .discovery.messages import DRAINING_STATE, LEFT_STATE, DiscoveredEndpoint
 from .state.overrides import EndpointOverrides
 from .state.requests import Exchange, PendingRequest
 
@@ -70,7 +70,7 @@
         Under an expired lease any endpoint is refused.
         """
         current = self.overrides.current(endpoint.id)
-        if current is None or current.state == DRAINING_STATE:
+        if current is None or current.state in (DRAINING_STATE, LEFT_STATE):
             return Refusal.MOVED
         if (current.addr, current.started_ms) != (endpoint.addr, endpoint.started_ms):
             return Refusal.MOVED
--- a/starlingwheel/net/state/overrides.py
+++ b/starlingwheel/net/state/overrides.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from ..discovery.messages import DRAINING_STATE, LEFT_STATE, DiscoveredEndpoint
+from .endpoint_addresses import EndpointAddresses
 from .known_ids import KnownIds
 
 OVERRIDES_FILE = "starlingwheel-operators.json"
@@ -108,6 +109,7 @@
         self.file = OverridesFile(Path(folder, OVERRIDES_FILE) if folder else None, log)
         self.stored = StoredOverrides()
         self.discovered: dict[str, DiscoveredEndpoint] = {}  # endpoints as discovery lists them, by id
+        self.addresses = EndpointAddresses()
         self.known_ids = KnownIds()
         self.has_unstored_ids = False  # whether `known_ids` has ids that are not stored
         self.reload()
@@ -117,23 +119,31 @@
     def apply_watch_message(
         self, full: bool, entries: Iterable[DiscoveredEndpoint]
     ) -> list[DiscoveredEndpoint]:
-        """Apply a snapshot (`full`) or a delta; return its endpoints with the overrides applied."""
+        """Apply a snapshot (`full`) or a delta; return its endpoints with the overrides applied.
+
+        With them are the others at their addresses, which another process may have taken.
+        """
         if full:
             for endpoint_id in self.discovered:
                 self.known_ids.release(endpoint_id)
             self.discovered.clear()
-        effective = []
+            self.addresses.clear()
+        named: dict[str, DiscoveredEndpoint] = {}
+        neighbours: dict[str, None] = {}
         for entry in entries:
+            if (former := self.discovered.pop(entry.id, None)) is not None:
+                neighbours |= self.addresses.remove(former)
             if entry.state == LEFT_STATE:
-                self.discovered.pop(entry.id, None)
                 self.known_ids.release(entry.id)
             else:
                 self.discovered[entry.id] = entry
+                neighbours |= self.addresses.add(entry)
                 if self.known_ids.use(entry.id):
                     self.has_unstored_ids = True
-            effective.append(self.effective(entry))
+            named[entry.id] = entry
         self._forget_unused_ids()
-        return effective
+        others = [self.discovered[i] for i in neighbours if i not in named and i in self.discovered]
+        return [self.effective(entry) for entry in [*named.values(), *others]]
 
     def current(self, endpoint_id: str) -> DiscoveredEndpoint | None:
         """Return an endpoint as last received, even if the coordinator has not handled it, or None."""
@@ -144,6 +154,8 @@
         """Return a discovered endpoint with the overrides applied."""
         if entry.state == LEFT_STATE:
             return entry
+        if self.addresses.is_replaced(entry):
+            return msgspec.structs.replace(entry, state=LEFT_STATE)
         if entry.id in self.stored.drained:
             return msgspec.structs.replace(entry, state=DRAINING_STATE)
         if entry.id in self.stored.restored:
