Soak of one sidecar as real processes: random overlapping faults, judged at clients and servers

Judged: one final response in time and its own, no sound response cut off, no id run twice or outside window and scope, nothing refused that ran, nothing begun late for clients that left, times told, memory, ends of processes.

--- a/fakes/client_connection.py
+++ b/fakes/client_connection.py
@@ -52,12 +52,19 @@
             if rate != inf:
                 await asyncio.sleep(WRITE_INTERVAL)
 
-    async def read_response(self, timeout: float, rate: float = inf, method: str = "GET") -> ReceivedResponse:
+    async def read_response(
+        self,
+        timeout: float,
+        rate: float = inf,
+        method: str = "GET",
+        received: ReceivedResponse | None = None,
+    ) -> ReceivedResponse:
         """Read one response, at most `rate` bytes a second; return what came of it within `timeout` seconds.
 
-        The connection is not usable afterwards if the response was not complete or announced the close.
+        The connection is not usable afterwards if the response was not complete or announced the close. What
+        comes is recorded in `received`, also if the call is cancelled.
         """
-        received = ReceivedResponse()
+        received = received or ReceivedResponse()
         try:
             async with asyncio.timeout(timeout):
                 await self._read(received, rate, method)
--- a/trials/__main__.py
+++ b/trials/__main__.py
@@ -25,6 +25,7 @@
     parts,
     policy,
     rest,
+    soak,
     storm,
     zones,
 )
@@ -40,6 +41,7 @@
     **outage.CASES,
     **endpoint_list.CASES,
     "rest": rest.run_trial,
+    "soak": soak.run_trial,
     "policy": policy.run_changes,
     **hard.CASES,
     **policy.CASES,
--- a/trials/single.py
+++ b/trials/single.py
@@ -96,13 +96,18 @@
         for program in self.programs:
             program.signal(signal.SIGCONT)
             program.kill()
-        if self.listener is not None:
-            self.listener.close()
+        self.close_listener()
         await self.endpoint_list.server.stop()
         for server in self.servers.values():
             await server.stop()
         self.folder_owner.cleanup()
 
+    def close_listener(self) -> None:
+        """Close the passed socket here, so that it ends with the last process that has it."""
+        if self.listener is not None:
+            self.listener.close()
+            self.listener = None
+
     def entry(self, name: str, **changed: object) -> Json:
         """Return a server's entry in the endpoint list."""
         return {"id": name, "addr": self.servers[name].address, "zone": "", "state": "active"} | changed
--- /dev/null
+++ b/trials/soak/plan.py
@@ -0,0 +1,182 @@
+"""What a seed draws: the settings of the sidecar, the requests of its clients, and the signals."""
+
+from __future__ import annotations
+
+import enum
+import random
+from dataclasses import dataclass, field
+from math import inf
+
+from fakes.delivery import Delivery, Ending, Framing
+
+from ..single import Json, request_class
+
+MAX_COUNTED_TIMEOUT = 3.0  # seconds of the longest timeout that count for the kill
+KILL_DELAY = 0.7  # seconds from the longest timeout after SIGTERM to the earliest SIGKILL
+LOAD_TIME = 6.0  # seconds of load before SIGTERM
+METHODS = {"read": "GET", "pay": "POST", "change": "POST"}
+CATEGORY_WEIGHTS = {"read": 0.4, "pay": 0.35, "change": 0.25}
+LONG_BODY = 65_536  # bytes of a response up to which its last byte is timed
+MEMORY_LIMIT_MB = 80
+
+
+class Kind(enum.Enum):
+    """What is special about a request, its client or its response."""
+
+    USUAL = "usual"
+    LATE_BODY = "late body"  # a long response whose body comes long after its head
+    TRICKLE = "trickle"  # a long response that comes slowly from the start
+    SHORT_LATE = "short, late"
+    HANG = "hang"  # a head or a part of a body, and nothing more
+    BREAK = "break"  # a response that is reset
+    ERROR = "error"  # a status that is no success, with a late body
+    UPLOAD = "upload"  # a long request, read slowly
+    SLOW_READER = "slow reader"
+    LEAVE = "leave"  # the client leaves before the response; the id comes again
+
+
+WEIGHTS = {
+    Kind.USUAL: 10.0,
+    Kind.LATE_BODY: 3.0,
+    Kind.TRICKLE: 1.0,
+    Kind.SHORT_LATE: 1.0,
+    Kind.HANG: 0.5,
+    Kind.BREAK: 0.7,
+    Kind.ERROR: 0.8,
+    Kind.UPLOAD: 1.2,
+    Kind.SLOW_READER: 0.7,
+    Kind.LEAVE: 1.5,
+}
+
+
+@dataclass(eq=False)
+class RequestPlan:
+    """One request: what its client sends and does, and how a server responds to it."""
+
+    trace: str
+    category: str
+    kind: Kind
+    timeout: float  # seconds that the client waits
+    length: int = 40  # bytes of the response
+    delivery: Delivery = field(default_factory=Delivery)
+    work: float = 0.01  # seconds before the head of the response
+    status: int = 200
+    never_ran: bool = False  # the response says that the request has not run
+    upload: int = 0  # bytes of the request
+    upload_rate: float = inf  # bytes a second
+    is_chunked: bool = False  # the request
+    read_rate: float = inf  # bytes a second that the client reads
+    leaves_after: float = inf  # seconds after its last byte at which the client leaves
+    leaves_by_reset: bool = False
+    repeats_after: float = inf  # seconds after it has left at which the id comes again
+
+    @property
+    def is_long(self) -> bool:
+        """Whether the first bytes of the response are timed, and not the last one."""
+        return self.length > LONG_BODY
+
+
+class SoakPlan:
+    """All draws of one seed."""
+
+    def __init__(self, seed: int) -> None:
+        """Draw the settings and the signals."""
+        self.rng = rng = random.Random(seed)
+        self.seed = seed
+        scale = rng.choice([0.3, 0.5, 1.0])  # short deadlines and usual ones
+        self.timeout = rng.uniform(2.0, 2.6) * scale + 0.4
+        self.window = self.timeout
+        self.objectives = {
+            "read": rng.uniform(0.8, 1.1) * scale,
+            "pay": rng.uniform(0.7, 0.9) * scale,
+            "change": rng.uniform(0.6, 0.8) * scale,
+        }
+        self.scope = rng.choice(["all", "cell"])
+        self.is_replaced = rng.random() < 0.5  # another process takes the place of the first one
+        self.has_crowd = rng.random() < 0.4  # idle clients, and clients that write slowly
+        self.has_noise = rng.random() < 0.4  # one client sends small and unsound requests at full speed
+        self.rate = rng.uniform(25, 45)  # requests a second
+        self.reloads_at = sorted(rng.uniform(1, LOAD_TIME) for _ in range(rng.choice([0, 1, 3])))
+        self.server_changes_at = sorted(rng.uniform(1, LOAD_TIME - 1) for _ in range(rng.choice([0, 1, 2])))
+        self.count = 0
+
+    def categories(self) -> list[Json]:
+        """Return the settings of the request classes."""
+        return [
+            request_class("read", "free", self.objectives["read"], self.timeout),
+            request_class("pay", "single_shot", self.objectives["pay"], self.timeout, payoff=4.0),
+            request_class(
+                "change",
+                "guarded",
+                self.objectives["change"],
+                self.timeout,
+                dedupScope=self.scope,
+                window=int(self.window * 1e6),
+            ),
+        ]
+
+    @property
+    def kill_after(self) -> float:
+        """Seconds from SIGTERM to the earliest SIGKILL."""
+        return min(self.timeout, MAX_COUNTED_TIMEOUT) + KILL_DELAY
+
+    def describe(self) -> Json:
+        """Return the draws as data."""
+        return {
+            "timeout": round(self.timeout, 3),
+            "objectives": {name: round(value, 3) for name, value in self.objectives.items()},
+            "scope": self.scope,
+            "replaced": self.is_replaced,
+            "crowd": self.has_crowd,
+            "noise": self.has_noise,
+            "rate": round(self.rate, 1),
+            "reloads": [round(at, 2) for at in self.reloads_at],
+            "server_changes": [round(at, 2) for at in self.server_changes_at],
+        }
+
+    def next_request(self) -> RequestPlan:
+        """Draw a request."""
+        rng = self.rng
+        category = rng.choices([*CATEGORY_WEIGHTS], [*CATEGORY_WEIGHTS.values()])[0]
+        kind = rng.choices([*WEIGHTS], [*WEIGHTS.values()])[0]
+        self.count += 1
+        plan = RequestPlan(f"{category}-{self.count}", category, kind, rng.uniform(0.8, 1.0) * self.timeout)
+        plan.work = rng.uniform(0.002, 0.03)
+        plan.delivery.framing = rng.choice(list(Framing))
+        self._draw_kind(plan, self.objectives[category])
+        return plan
+
+    def _draw_kind(self, plan: RequestPlan, objective: float) -> None:
+        rng, delivery = self.rng, plan.delivery
+        match plan.kind:
+            case Kind.LATE_BODY:
+                plan.length = rng.randrange(70_000, 300_000)
+                delivery.body_delay = rng.uniform(0.3, 2.0) * objective
+                delivery.rate = rng.choice([inf, 400_000.0, 1_000_000.0])
+            case Kind.TRICKLE:
+                plan.length = rng.randrange(66_000, 120_000)
+                delivery.rate = rng.uniform(40_000, 150_000)
+            case Kind.SHORT_LATE:
+                plan.length = rng.randrange(1, 60_000)
+                delivery.body_delay = rng.uniform(0.5, 1.2) * objective
+            case Kind.HANG | Kind.BREAK:
+                plan.length = rng.choice([100, 5_000, 150_000])
+                delivery.limit = rng.choice([0, 50, 90_000])
+                delivery.ending = Ending.HANG if plan.kind is Kind.HANG else Ending.RESET
+                delivery.body_delay = rng.choice([0.0, 0.4 * objective])
+            case Kind.ERROR:
+                plan.status, plan.never_ran = rng.choice([(500, False), (503, True), (503, False)])
+                plan.length = rng.choice([0, 20, 3_000, 100_000])
+                delivery.body_delay = rng.choice([0.0, 1.5]) * objective
+            case Kind.UPLOAD if plan.category != "read":
+                plan.upload = rng.randrange(66_000, 600_000)
+                plan.upload_rate = rng.choice([inf, 300_000.0])
+                plan.is_chunked = rng.random() < 0.5
+            case Kind.SLOW_READER:
+                plan.length = rng.randrange(100_000, 400_000)
+                plan.read_rate = rng.uniform(100_000, 300_000)
+            case Kind.LEAVE:
+                plan.work = rng.uniform(0.05, 0.6) * objective
+                plan.leaves_after = rng.uniform(0.002, 0.2)
+                plan.leaves_by_reset = rng.random() < 0.5
+                plan.repeats_after = rng.choice([inf, 0.01, 0.05, 0.5])
