A response that has begun and hangs keeps no other request from being admitted

Cause: the attempt stays pending for as long as its response may still come, and counted as load of its endpoint for all that time; before, it was cancelled at the objective. Change: an attempt whose response is being passed on counts as load no more (as before, from the first byte on), and one that is awaited past the objective neither. Its outcome is recorded at its end. The simulator's streams count as before.

--- a/starlingwheel/decisions/balancer.py
+++ b/starlingwheel/decisions/balancer.py
@@ -146,6 +146,10 @@
         """Record that an endpoint has begun to respond."""
         self.outcomes.record_head(attempt)
 
+    def response_relayed(self, attempt: Attempt) -> None:
+        """Stop counting an attempt as load, as its response is being passed on."""
+        self.load.note_ended(attempt)
+
     def attempt_ended(self, event: AttemptEnded) -> None:
         """Record the end of an attempt."""
         self.outcomes.record_attempt(event)
--- a/starlingwheel/decisions/dispatch.py
+++ b/starlingwheel/decisions/dispatch.py
@@ -126,7 +126,7 @@
                 if result is None and not self._is_pending():
                     break
             hedge_at = self._hedge_at()
-            event = yield Wait(min(hedge_at, self.give_up_at))
+            event = yield Wait(min(hedge_at, self._next_check_at()))
             self._update_give_up_time()
             if event is None or isinstance(event, HealthCheckEnded):
                 next_step = self._handle_timeout(hedge_at)
@@ -136,6 +136,19 @@
                 return
         yield from self._answer()
 
+    def _next_check_at(self) -> float:
+        """Return the time at which the request is given up, or at which no further attempt may start."""
+        return self.start_until if self.clock.now < self.start_until else self.give_up_at
+
+    def _release_load(self) -> None:
+        """Stop counting attempts as load whose responses have begun and are awaited past the objective.
+
+        Endpoints that send the rest late, or never, would otherwise keep requests from being admitted.
+        """
+        for attempt in self.attempts:
+            if attempt.pending:
+                self.dispatcher.load.note_ended(attempt)
+
     def _hedge_at(self) -> float:
         """Return the time at which hedging is next considered, or infinity."""
         hedge_at = self.dispatcher.hedging.due_at(
@@ -175,6 +188,8 @@
         now = self.clock.now
         if now >= self.give_up_at:
             return NextStep.ANSWER
+        if now >= self.start_until:
+            self._release_load()
         return NextStep.ATTEMPT if now >= hedge_at and self._hedge() else NextStep.WAIT
 
     def _handle(self, event: AttemptEnded | ResponseStarted | ClientDisconnected) -> DecisionCoroutine:
--- a/starlingwheel/decisions/scheduler.py
+++ b/starlingwheel/decisions/scheduler.py
@@ -174,8 +174,10 @@
             self.balancer.head_received(attempt)
             self._resume_request(attempt.request, None)
 
-    def response_started(self, attempt: Attempt) -> None:
-        """Handle the start of a streamed response."""
+    def response_started(self, attempt: Attempt, is_load: bool = True) -> None:
+        """Handle the start of a streamed response; `is_load`: it counts as load until its end."""
+        if not is_load:
+            self.balancer.response_relayed(attempt)
         self._resume_request(attempt.request, ResponseStarted(attempt))
 
     def client_disconnected(self, request: Request) -> None:
--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -168,7 +168,7 @@
             response.body.release()
             return
         self._send_final_response(pending, FinalResponse(200, response), "finished")
-        self.scheduler.response_started(attempt)
+        self.scheduler.response_started(attempt, is_load=False)
 
     def _exchange_ended(
         self,
--- a/tests/decisions/test_dispatch.py
+++ b/tests/decisions/test_dispatch.py
@@ -1,5 +1,6 @@
 """Tests of the dispatch of one request: attempts, cancellation, one final answer."""
 
+import pytest
 from decision_host import BUY, LOOK, AnswerKind, FakeHost, MakeHost
 
 from starlingwheel.decisions.model import AttemptOutcome
@@ -117,3 +118,24 @@
     host.end_attempt(first, AttemptOutcome.RESET)
     host.advance(0.5)
     assert host.answers_to(request) == [AnswerKind.REJECTED]
+
+
+def test_a_response_that_is_awaited_past_the_objective_is_no_load(host: FakeHost) -> None:
+    """Endpoints that send heads and nothing more would otherwise keep all requests from being admitted."""
+    request = host.submit(BUY)
+    (attempt,) = host.attempts_of(request)
+    host.scheduler.head_received(attempt)
+    host.advance(0.5)
+    assert attempt.endpoint.in_flight
+    host.advance(0.6)
+    assert not attempt.endpoint.in_flight and host.answers_to(request) == []
+    host.end_attempt(attempt)
+    assert host.scheduler.balancer.load.in_flight == 0
+
+
+@pytest.mark.parametrize("is_load", [True, False])
+def test_a_response_that_is_passed_on_may_count_as_load(host: FakeHost, is_load: bool) -> None:
+    """The host says so."""
+    (attempt,) = host.attempts_of(host.submit())
+    host.scheduler.response_started(attempt, is_load=is_load)
+    assert bool(attempt.endpoint.in_flight) == is_load
