Stalled responses make room for other clients when descriptors are short

Cause: each such response holds a descriptor of a client and one of an endpoint for 5 s after its last byte. Change: where a new client, a further request or a connection to an endpoint finds no room, the response is broken off that has had no byte for longest, if that is 2.5 s and its client's time is over. A response that comes slowly keeps its place.

--- a/starlingwheel/net/context.py
+++ b/starlingwheel/net/context.py
@@ -24,7 +24,7 @@
 from .lifecycle.config import SidecarConfig
 from .lifecycle.log import EventLog
 from .loop import Loop
-from .messages import DRAIN, ConfigReloaded, EndpointsChanged
+from .messages import DRAIN, ConfigReloaded, EndpointsChanged, EndStalledResponse
 from .state.buffers import BUFFER_SIZE, BufferPool
 from .state.connections import ConnectionTracker
 from .state.executed_ids import ExecutedIds
@@ -286,5 +286,13 @@
         if self.draining != self.client_drainer.is_draining:
             self.client_drainer.post(DRAIN)
 
+    def end_stalled_response(self) -> bool:
+        """Break off a response that has stalled past its client's time; return False if there is none."""
+        exchange = self.connections.take_stalled_response(self.loop.now())
+        if exchange is None or exchange.connection is None:
+            return False
+        exchange.connection.post(EndStalledResponse(exchange))
+        return True
+
     def _log_error(self, actor: Actor, error: Exception) -> None:
         self.log.exception("defect", error, actor=type(actor).__name__)
--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -27,6 +27,7 @@
 from ..messages import (
     CLOSE,
     CancelExchange,
+    EndStalledResponse,
     ExchangeEnded,
     ResponseHeadReceived,
     ResponseStarted,
@@ -37,6 +38,7 @@
 from ..state.requests import Exchange, PendingRequest, UpstreamResponse
 from .endpoint_connection import EndpointConnection
 from .errors import CloseReason, ConnectionLostError
+from .http2_preface import PrefaceCheck
 from .http2_stream import StreamExchange
 from .load_report import extract_load_report
 from .timing import connect_deadline, idle_deadline
@@ -47,8 +49,6 @@
     from ..context import SidecarContext
     from .pool import ConnectionPool
 
-SETTINGS_FRAME = b"\x04"  # the type of the first frame that an endpoint sends
-FRAME_TYPE_OFFSET = 3  # position of the type in a frame's header, in bytes
 CONNECTION_WINDOW = 1 << 20  # bytes that an endpoint may send ahead on one connection
 
 
@@ -62,7 +62,7 @@
         self.streams: dict[int, StreamExchange] = {}
         self.connected = self.closing = False
         self.http = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding=None))
-        self.first_bytes = b""  # the first bytes that the endpoint sent
+        self.preface = PrefaceCheck()
         super().__init__(context, pool)
 
     def has_capacity(self) -> bool:
@@ -142,6 +142,8 @@
                 self._start_exchange(exchange)
             case CancelExchange(exchange):
                 self._cancel(exchange, AttemptOutcome.CANCELLED)
+            case EndStalledResponse(exchange):
+                self._cancel(exchange, AttemptOutcome.RESET)
             case BodyStreamChanged():
                 self._relays_changed()
             case _ if message is CLOSE:
@@ -247,7 +249,7 @@
         if not count:
             raise ConnectionLostError(CloseReason.UPSTREAM_CLOSED)
         data = bytes(memoryview(scratch)[:count])
-        self._check_first_frame(data)
+        self.preface.check(data)
         try:
             events = self.http.receive_data(data)
         except h2.exceptions.ProtocolError as error:
@@ -260,16 +262,6 @@
         for stream_exchange in [e for e in self.streams.values() if e.awaits_rest]:
             self._act_on_head(stream_exchange)
 
-    def _check_first_frame(self, data: bytes) -> None:
-        """Raise `ConnectionLostError` for input that is not HTTP/2.
-
-        h2 would take the beginning of such input for the length of a frame, and wait for the rest of it.
-        """
-        if len(self.first_bytes) <= FRAME_TYPE_OFFSET:
-            self.first_bytes += data[: FRAME_TYPE_OFFSET + 1]
-            if self.first_bytes[FRAME_TYPE_OFFSET : FRAME_TYPE_OFFSET + 1] not in (b"", SETTINGS_FRAME):
-                raise ConnectionLostError(CloseReason.MALFORMED)
-
     def _handle_connection_event(self, event: h2.events.Event) -> None:
         match event:
             case h2.events.WindowUpdated() | h2.events.RemoteSettingsChanged():
@@ -319,6 +311,7 @@
             self._cancel(stream_exchange.exchange, AttemptOutcome.RESET)
             return
         if was_relayed:
+            self.context.connections.note_waiting_response(stream_exchange.exchange, self.loop.now())
             # The others on the connection do not wait for a slow client; only this stream does.
             self._open_window(window, None)
             stream_exchange.unacknowledged += window
@@ -342,6 +335,7 @@
     def _begin_relay(self, stream_exchange: StreamExchange) -> None:
         has_data = bool(stream_exchange.body.length)
         response = stream_exchange.begin_relay(self, self.loop.now())
+        self.context.connections.note_waiting_response(stream_exchange.exchange, self.loop.now())
         self.context.coordinator.post(ResponseStarted(stream_exchange.exchange, response))
         if has_data:
             self._report_stream(stream_exchange, stream_exchange.outcome)
@@ -369,6 +363,7 @@
         if not self.streams and not self.closing:
             # When descriptors run short, a connection without an exchange is closed to make room.
             self.context.connections.idle_endpoint_connections[self] = None
+        self.context.connections.note_response_progress(stream_exchange.exchange)
         stream_exchange.end_relay(is_complete=outcome is AttemptOutcome.SUCCESS)
         self._report_stream(stream_exchange, outcome)
 
--- a/starlingwheel/net/http/listener.py
+++ b/starlingwheel/net/http/listener.py
@@ -93,4 +93,7 @@
             closing.post(CLOSE)
 
     def _client_to_close(self) -> ClientConnection | None:
+        """Return a client to close for another one; None if there is room, or will be."""
+        if self.context.connections.is_short_of_clients() and self.context.end_stalled_response():
+            return None
         return self.context.connections.client_to_close(self.loop.now() - FIRST_REQUEST_GRACE)
--- a/starlingwheel/net/http/pool.py
+++ b/starlingwheel/net/http/pool.py
@@ -123,6 +123,7 @@
         """Close the connection that has been idle for longest, in any pool; return False if there is none."""
         connection = self.context.connections.longest_idle()
         if connection is None:
+            self.context.end_stalled_response()  # for the next exchange
             return False
         connection.pool.remove_idle(connection)
         connection.post(CLOSE)
--- a/starlingwheel/net/http/request_parser.py
+++ b/starlingwheel/net/http/request_parser.py
@@ -67,6 +67,7 @@
     timeout = _timeout(headers)
     if len(context.active_traces) >= context.connections.max_requests:
         # Further requests would use up the descriptors that connections to endpoints need.
+        context.end_stalled_response()
         raise InvalidRequestError(503, InvalidRequestReason.TOO_MANY_REQUESTS)
     return PendingRequest(
         request=Request(
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -15,6 +15,7 @@
 
 from ...decisions.model import AttemptOutcome
 from ..loop import READ, SocketReady
+from ..messages import EndStalledResponse
 from ..state.body_stream import MAX_STREAMED_BODY, BodyStream
 from ..state.buffers import MAX_BUFFERED_BODY, BufferedBody, BuffersExhaustedError
 from ..state.requests import Exchange, UpstreamResponse
@@ -134,6 +135,7 @@
         finally:
             if self.relay is not None:
                 self.relay.abort()
+                self.context.connections.note_response_progress(self.exchange)
 
     def progress(self) -> dict[str, object]:
         """Return the fields that tell, in the log, how far a response has come that is not complete."""
@@ -282,7 +284,11 @@
             raise ConnectionLostError(CloseReason.CANCELLED)
         self.stream.wait_for(READ)
         deadline = self.stream.loop.now() + RELAY_STALL_TIMEOUT
+        self.context.connections.note_waiting_response(self.exchange, self.stream.loop.now())
         message = yield deadline
+        self.context.connections.note_response_progress(self.exchange)
+        if isinstance(message, EndStalledResponse) and message.exchange is self.exchange:
+            raise ConnectionLostError(CloseReason.RELAY_STALLED)
         if message is None and self.stream.loop.now() >= deadline:
             raise ConnectionLostError(CloseReason.RELAY_STALLED)
         if isinstance(message, SocketReady):
--- a/starlingwheel/net/messages.py
+++ b/starlingwheel/net/messages.py
@@ -107,6 +107,13 @@
     exchange: Exchange
 
 
+@dataclass(slots=True, eq=False)
+class EndStalledResponse:
+    """To a connection to an endpoint: break off a response that makes no progress, to free descriptors."""
+
+    exchange: Exchange
+
+
 @dataclass(slots=True, eq=False)
 class ConnectionIdle:
     """To a connection pool: one of its connections can run the next exchange."""
--- a/starlingwheel/net/state/connections.py
+++ b/starlingwheel/net/state/connections.py
@@ -4,12 +4,15 @@
 
 from typing import Any
 
+from .requests import Exchange
+
 # Parts of the descriptor limit.
 REQUEST_SHARE = 1 / 3  # for connections of clients with requests in flight
 ADMIN_SHARE = 1 / 32  # for admin calls, if there is an admin address
 RESERVE_SHARE = 1 / 16  # for discovery, peers and the log; as much again for clients without a request
 MIN_RESERVE = 20  # descriptors: those that an idle process has open, and a few short-lived files
 MIN_ADMIN_CALLS = 8
+STALLED_AFTER = 2.5  # seconds without a byte after which a response may be broken off to make room
 # Part of the clients' descriptors in use from which on client connections without a request are closed.
 CLOSE_IDLE_THRESHOLD = 7 / 8
 
@@ -30,6 +33,9 @@
         self.partial_requests: dict[Any, None] = {}
         self.idle_clients: dict[Any, None] = {}  # clients between requests, the longest idle first
         self.answered_clients: dict[Any, None] = {}  # clients that have received their last response
+        # Exchanges whose responses have begun for their clients and wait for more, the longest waiting first.
+        # With the time at which their last byte came.
+        self.waiting_responses: dict[Exchange, float] = {}
         self.peak = 0  # the highest number of connections at a time so far
 
     def set_limit(self, max_descriptors: int, processes: int = 1) -> None:
@@ -79,7 +85,7 @@
         chosen last. Clients that have been silent for longer are chosen before those whose first request is
         incomplete: a slow request is not closed in favour of one that may never begin.
         """
-        if len(self.clients) < self.client_limit:
+        if not self.is_short_of_clients():
             return None
         oldest = next(iter(self.silent_clients), None)
         silent_first = oldest is not None and oldest.opened_at < connected_before
@@ -91,6 +97,33 @@
                 return client
         return None
 
+    def note_waiting_response(self, exchange: Exchange, now: float) -> None:
+        """Record that a response that has begun for its client waits for more, from now on."""
+        self.waiting_responses.pop(exchange, None)
+        self.waiting_responses[exchange] = now
+
+    def note_response_progress(self, exchange: Exchange) -> None:
+        """Record that more of a response has come, or that it has ended."""
+        self.waiting_responses.pop(exchange, None)
+
+    def take_stalled_response(self, now: float) -> Exchange | None:
+        """Return the response that has waited longest of those that have stalled, or None.
+
+        Its client's time is over, too. It takes up a descriptor of a client and one of an endpoint, and may
+        never go on; one that comes slowly, or pauses, does.
+        """
+        for exchange, since in self.waiting_responses.items():
+            if now < since + STALLED_AFTER:
+                return None
+            if exchange.pending is not None and exchange.pending.request.deadline <= now:
+                del self.waiting_responses[exchange]
+                return exchange
+        return None
+
+    def is_short_of_clients(self) -> bool:
+        """Return whether room has to be made for another client."""
+        return len(self.clients) >= self.client_limit
+
     def record_request_part(self, client: object) -> None:
         """Record that another part of a client's first request has arrived."""
         self.silent_clients.pop(client, None)
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -11,6 +11,7 @@
 
 from starlingwheel.net.http import response_attribution, upstream_response
 from starlingwheel.net.http.response_attribution import COMPARED_PREFIX
+from starlingwheel.net.state import connections as connections_module
 
 OBJECTIVE = 0.2  # seconds; the classes' timeout is twice that, as is the time that clients wait
 LATE = 0.3  # seconds after which a body comes, after the objective and before the deadline
@@ -226,3 +227,49 @@
     else:
         while not received.endswith(b"0\r\n\r\n"):
             received += harness.wait_until(lambda: harness.read(client))
+
+
+@pytest.mark.parametrize("sockets", [96, 192])
+def test_stalled_responses_make_room_for_others(
+    make_harness: Callable[..., SidecarHarness], monkeypatch: pytest.MonkeyPatch, sockets: int
+) -> None:
+    """Each takes a descriptor of a client and one of an endpoint, and its client's own time is over.
+
+    With the lower limit the descriptors for endpoints run short first, else those for clients.
+    """
+    monkeypatch.setattr(connections_module, "STALLED_AFTER", OBJECTIVE)
+    caps = SETTINGS["caps"] | {"probing": False, "mayDuplicate": False}
+    settings = {"caps": caps, "categories": request_class_settings(int(OBJECTIVE * 1e6))}
+    harness = make_harness(upstreams=8, limits={"sockets": sockets}, settings=settings)
+    connections = harness.context.connections
+    capacity = min(connections.client_limit, connections.endpoint_limit)
+    while len(connections.clients) < capacity:
+        for _ in range(4):
+            harness.send_request("buy", x_expires_in_ms=str(int(2000 * OBJECTIVE)))
+        for _ in range(4):
+            upstream = harness.wait_until(harness.accept_any)[1]
+            harness.read_request(upstream)
+            send_head(upstream, "Transfer-Encoding: chunked")
+        harness.run_for(OBJECTIVE * 0.6)
+    assert len(connections.waiting_responses) == capacity
+    harness.run_for(2 * OBJECTIVE)
+    for _ in range(4):
+        harness.send_request("look")
+    harness.wait_until(lambda: len(connections.waiting_responses) <= capacity - 4)
+    harness.wait_until(lambda: harness.log_lines("upstream.end"))
+    assert {line["reason"] for line in harness.log_lines("upstream.end")} == {"silent"}
+
+
+def test_a_response_that_comes_slowly_is_not_broken_off_to_make_room(
+    make_harness: Callable[..., SidecarHarness],
+) -> None:
+    """It waits for its next byte at nearly any time, also after its client's time."""
+    settings = {"categories": request_class_settings(int(OBJECTIVE * 1e6))}
+    harness = make_harness(limits={"sockets": 96}, settings=settings)
+    client, upstream = begin(harness, "buy", "Connection: close")
+    for _ in range(harness.context.connections.client_limit + 4):
+        upstream.sendall(b"x")
+        harness.connect_client()
+        harness.run_for(0.03)
+    upstream.close()
+    assert rest_of(harness, client).endswith(b"0\r\n\r\n")
