One connection handles 256 events in a turn, so that input in tiny pieces holds up nobody else

Cause: a read holds up to 64 KiB, 10,900 such chunks, all of which were handled in one turn of the loop, some 0.1 s for each such client in each turn. Change: after 256 events a connection leaves the rest to a later turn: request heads and bodies, uploads, responses of endpoints. `turns_cut` in `pulse` counts that. HTTP/2 frames are not bounded yet.

--- a/starlingwheel/net/http/client_connection.py
+++ b/starlingwheel/net/http/client_connection.py
@@ -159,6 +159,8 @@
         request, length = None, None
         self._await_request()
         while True:
+            if self.stream.is_turn_over():
+                yield from self._end_turn()
             try:
                 event = self.stream.next_event()
             except ConnectionLostError as error:
@@ -182,6 +184,12 @@
                 if not (yield from self._receive_more()):
                     return None
 
+    def _end_turn(self) -> Coroutine[None]:
+        """Let other actors run before the rest of the input is handled."""
+        message = yield self.loop.now()
+        if message is STOP or message is CLOSE:
+            self._close_when_idle(message)
+
     def _await_request(self) -> None:
         self.stream.read_size = BUFFER_SIZE
         self.progress.expect_request(pipelined=bool(self.stream.http.trailing_data[0]))
--- a/starlingwheel/net/http/stream.py
+++ b/starlingwheel/net/http/stream.py
@@ -23,6 +23,7 @@
 
 MAX_HEAD_LENGTH = 16384  # bytes
 MAX_VIEWS_PER_WRITE = 64
+MAX_EVENTS_PER_TURN = 256  # of one connection
 ABORT_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on, 0 seconds: close with a reset
 SO_TIMESTAMPNS = 35  # asm-generic/socket.h; the socket module does not define it
 TIMESTAMP = struct.Struct("qq")  # seconds and nanoseconds of the wall clock
@@ -55,6 +56,7 @@
         self.read_size = BUFFER_SIZE if role is h11.SERVER else len(pool.scratch)
         self.unwritten: list[bytes | memoryview] = []
         self.mask = 0  # the registered events; 0: the socket is not registered
+        self.events_in_turn = 0  # since the last read
         self.end_read = False  # the end of the peer's input has been read
         # When the bytes of the last read had arrived, by the kernel; None where it does not tell.
         self.arrived_at: float | None = None
@@ -88,7 +90,7 @@
         try:
             views = [memoryview(self.pool.scratch)[: self.read_size]]
             count, ancillary, _, _ = self.sock.recvmsg_into(views, TIMESTAMP_SPACE)
-            self.end_read = not count
+            self.end_read, self.events_in_turn = not count, 0
             self.arrived_at = self._arrival_time(ancillary)
             received: BytesLike = memoryview(self.pool.scratch)[:count] if count else b""
             self.http.receive_data(received)
@@ -110,6 +112,18 @@
                 return self.loop.now() - max(0.0, age)
         return None
 
+    def is_turn_over(self) -> bool:
+        """Count an event; return whether the actor is to leave the rest of its input to a later turn.
+
+        A read may hold thousands of events, such as chunks of one byte, and other actors wait meanwhile.
+        """
+        self.events_in_turn += 1
+        if self.events_in_turn <= MAX_EVENTS_PER_TURN:
+            return False
+        self.events_in_turn = 0
+        self.loop.turns_cut_short += 1
+        return True
+
     def next_event(self) -> Event:
         """Return h11's next event. Raises `ConnectionLostError` for input that is not HTTP."""
         try:
--- a/starlingwheel/net/http/upload_relay.py
+++ b/starlingwheel/net/http/upload_relay.py
@@ -46,6 +46,8 @@
         Raises `InvalidRequestError` if the body can't be read, `ConnectionLostError` if the client has left.
         """
         while True:
+            if self.stream.is_turn_over() and (final := (yield from self._end_turn())):
+                return final
             event = self._next_event()
             if isinstance(event, h11.Data):
                 continue
@@ -59,10 +61,24 @@
             message = yield from self._wait_for_input()
             if isinstance(message, FinalResponse):
                 return message
-            if isinstance(message, SocketReady):
-                self._read(message)
-            elif message is None and self.loop.now() >= self.progress.deadline():
-                raise InvalidRequestError(408, InvalidRequestReason.INCOMPLETE)
+            self._handle(message)
+
+    def _end_turn(self) -> Coroutine[FinalResponse | None]:
+        """Let other actors run before the rest is handled; return the final response if it comes.
+
+        Raises `ConnectionLostError` if the client has left.
+        """
+        message = yield self.loop.now()
+        if isinstance(message, SocketReady) and message.hung_up:
+            raise ConnectionLostError(CloseReason.CLIENT_LEFT)
+        return message if isinstance(message, FinalResponse) else None
+
+    def _handle(self, message: object) -> None:
+        """Read what has arrived; raises `InvalidRequestError` if that takes too long."""
+        if isinstance(message, SocketReady):
+            self._read(message)
+        elif message is None and self.loop.now() >= self.progress.deadline():
+            raise InvalidRequestError(408, InvalidRequestReason.INCOMPLETE)
 
     def _next_event(self) -> Event:
         """Return the next event after adding its data to the stream. Raises `InvalidRequestError`."""
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -15,7 +15,7 @@
 
 from ...decisions.model import AttemptOutcome
 from ..loop import READ, SocketReady
-from ..messages import EndStalledResponse
+from ..messages import CancelExchange, EndStalledResponse
 from ..state.body_stream import MAX_STREAMED_BODY, BodyStream
 from ..state.buffers import MAX_BUFFERED_BODY, BufferedBody, BuffersExhaustedError
 from ..state.requests import Exchange, UpstreamResponse
@@ -119,6 +119,8 @@
         head: h11.Response  # h11 produces no other event before it
         try:
             while True:
+                if self.stream.is_turn_over():
+                    yield from self._end_turn()
                 event = self.stream.next_event()
                 if isinstance(event, h11.Response):
                     head = event
@@ -249,6 +251,13 @@
 
     # Waiting for more.
 
+    def _end_turn(self) -> Coroutine[None]:
+        """Let other actors run before the rest of the input is handled."""
+        message = yield self.stream.loop.now()
+        is_cancelled = isinstance(message, CancelExchange) and message.exchange is self.exchange
+        if is_cancelled and self.relay is None:
+            raise ConnectionLostError(CloseReason.CANCELLED)
+
     def _receive(self) -> Coroutine[None]:
         """Wait for more of the response and read it; begin to relay a response that takes long."""
         if self.head is None:
--- a/starlingwheel/net/lifecycle/stats.py
+++ b/starlingwheel/net/lifecycle/stats.py
@@ -38,6 +38,7 @@
                 buffers=context.buffer_pool.allocated,
                 memory_mb=round(resident / 2**20, 1),
                 late_ms=round(self.loop.max_timer_delay * 1000, 1),
+                turns_cut=self.loop.turns_cut_short,
                 slowest_ms=round(context.coordinator.slowest_turn * 1000, 1),
                 lease=context.lease.state(self.loop.now()).value,
                 refused={reason.value: count for reason, count in context.gate.refused.items()},
--- a/starlingwheel/net/loop.py
+++ b/starlingwheel/net/loop.py
@@ -80,6 +80,7 @@
         self.running = False
         self.turn_length = 0.0  # seconds that the last turn took after its wait
         self.earliest_event_at = self.now()  # the events of this turn occurred at this time or later
+        self.turns_cut_short = 0  # how often an actor has left the rest of its input to a later turn
         self.max_timer_delay = 0.0  # the longest delay of a timer since the last report, in seconds
         self.after_turn: Callable[[], None] = lambda: None
 
