--- a/fakes/client_connection.py
+++ b/fakes/client_connection.py
@@ -120,6 +120,18 @@
         abort(self.writer)
 
 
+async def send_request(
+    address: str, method: str, category: str, trace: str, timeout: float
+) -> ClientConnection:
+    """Send a request without a body on a new connection; those of the class `change` have a key."""
+    headers = {"X-Trace-Id": trace, "X-Qos": category, "X-Expires-In-Ms": str(int(timeout * 1000))}
+    if category == "change":
+        headers["Idempotency-Key"] = f"key of {trace}"
+    client = await ClientConnection.open(address)
+    await client.write(request_head(method, f"/{category}/1", headers))
+    return client
+
+
 def request_head(
     method: str, target: str, headers: dict[str, str], length: int | None = 0, chunked: bool = False
 ) -> bytes:
--- a/starlingwheel/net/http/client_connection.py
+++ b/starlingwheel/net/http/client_connection.py
@@ -187,8 +187,11 @@
     def _end_turn(self) -> Coroutine[None]:
         """Let other actors run before the rest of the input is handled."""
         message = yield self.loop.now()
-        if message is STOP or message is CLOSE:
-            self._close_when_idle(message)
+        if message is STOP:
+            self.reason_when_idle = CloseReason.STOPPING
+        elif message is CLOSE:
+            # The request makes progress, so it is not closed before its response.
+            self.reason_when_idle = self.reason_when_idle or CloseReason.NOT_NEEDED
 
     def _await_request(self) -> None:
         self.stream.read_size = BUFFER_SIZE
--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -150,8 +150,6 @@
                 # Exchanges in progress run to their end; an idle connection ends at once.
                 self.closing = True
 
-    # Deadlines.
-
     def _next_deadline(self) -> float:
         deadlines = [exchange.deadline for exchange in self.waiting]
         deadlines += [stream_exchange.next_deadline for stream_exchange in self.streams.values()]
@@ -276,12 +274,10 @@
                 last = event.last_stream_id if event.last_stream_id is not None else 0
                 for stream_exchange in [e for e in self.streams.values() if e.stream_id > last]:
                     self._end_exchange(stream_exchange, AttemptOutcome.REJECTED)
-            case h2.events.DataReceived() if not self._is_relayed(event.stream_id):
-                self.http.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
-
-    def _is_relayed(self, stream_id: int) -> bool:
-        stream_exchange = self.streams.get(stream_id)
-        return stream_exchange is not None and stream_exchange.relay is not None
+            case h2.events.DataReceived():
+                receiver = self.streams.get(event.stream_id)
+                if receiver is None or receiver.relay is None:
+                    self.http.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
 
     def _handle_stream_event(self, event: h2.events.Event, stream_exchange: StreamExchange) -> None:
         match event:
--- a/tests/test_late_bodies.py
+++ b/tests/test_late_bodies.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from fakes.client_connection import ClientConnection, ReceivedResponse, request_head
+from fakes.client_connection import ReceivedResponse, send_request
 from fakes.delivery import Delivery, Framing
 from fakes.http1 import Handler, Request, Response
 from trials.single import SingleSidecar, request_class
@@ -56,12 +56,8 @@
 
 async def ask(address: str, category: str, trace: str) -> ReceivedResponse:
     """Send one request on a connection of its own and read the response."""
-    headers = {"X-Trace-Id": trace, "X-Qos": category, "X-Expires-In-Ms": str(int(TIMEOUT * 1000))}
-    if category == "change":
-        headers["Idempotency-Key"] = f"k-{trace}"
-    client = await ClientConnection.open(address)
+    client = await send_request(address, METHODS[category], category, trace, TIMEOUT)
     try:
-        await client.write(request_head(METHODS[category], f"/{category}/1", headers))
         return await client.read_response(TIMEOUT + 2)
     finally:
         client.close()
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from fakes.client_connection import ClientConnection, ReceivedResponse, request_head
+from fakes.client_connection import ClientConnection, ReceivedResponse, send_request
 from fakes.http1 import Handler, Request, Response
 from trials.single import SingleSidecar, request_class
 
@@ -40,12 +40,7 @@
 
 async def begin(address: str, category: str, trace: str) -> ClientConnection:
     """Send a request on a new connection."""
-    headers = {"X-Trace-Id": trace, "X-Qos": category, "X-Expires-In-Ms": str(int(TIMEOUT * 1000))}
-    if category == "change":
-        headers["Idempotency-Key"] = f"k-{trace}"
-    client = await ClientConnection.open(address)
-    await client.write(request_head(METHODS[category], f"/{category}/1", headers))
-    return client
+    return await send_request(address, METHODS[category], category, trace, TIMEOUT)
 
 
 async def ask(address: str, category: str, trace: str) -> ReceivedResponse:
