The log of ids stays short without operators' address, and loses no record while it is written anew

Cause: found by a second reading. Only the actor of admin calls had the log written anew, so that with a passed socket and no `mgmt` it grew without end, in a folder that counts as memory. And a record that a starting process appended between the truncation and the rewriting was not read by the process that rewrites.

--- a/starlingwheel/net/lifecycle/stats.py
+++ b/starlingwheel/net/lifecycle/stats.py
@@ -24,6 +24,7 @@
         context = self.context
         while True:
             yield self.loop.now() + STATS_INTERVAL
+            context.check_siblings()  # and keep the log of ids short, also where operators can't call
             with open("/proc/self/statm", "rb") as file:
                 resident = int(file.read().split()[1]) * PAGE_SIZE
             context.log(
--- a/starlingwheel/net/state/executed_ids.py
+++ b/starlingwheel/net/state/executed_ids.py
@@ -78,7 +78,10 @@
         os.ftruncate(self._descriptor, 0)
         records = b"".join(RECORD.pack(fingerprint | CLAIMED_BIT) for fingerprint in self._fingerprints)
         os.write(self._descriptor, records)
-        self._read_up_to = len(records)
+        # A process that starts just now may have written before these.
+        end, self._read_up_to = os.lseek(self._descriptor, 0, os.SEEK_CUR), 0
+        self._apply_log(end - len(records))
+        self._read_up_to = end
 
     def close(self) -> None:
         """Close the log."""
--- a/tests/test_executed_ids.py
+++ b/tests/test_executed_ids.py
@@ -2,6 +2,7 @@
 
 import errno
 import itertools
+import os
 import socket
 from collections.abc import Callable
 from pathlib import Path
@@ -9,6 +10,7 @@
 import pytest
 from conftest import SETTINGS, SidecarHarness, request_class_settings
 
+from starlingwheel.net.lifecycle import stats
 from starlingwheel.net.state import executed_ids
 from starlingwheel.net.state.executed_ids import IDS_FILE, MAX_IDS, MAX_LOG_SIZE, ExecutedIds
 
@@ -58,6 +60,25 @@
     assert MAX_LOG_SIZE > MAX_IDS * 8
 
 
+def test_a_record_that_is_written_while_the_log_is_written_anew_is_not_missed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A new process starts in the moment between the look at the others and the first byte."""
+    monkeypatch.setattr(executed_ids, "MAX_LOG_SIZE", 400)
+    first = ExecutedIds(str(tmp_path))
+    assert all(first.claim(b"%d" % i) for i in range(60))
+    second = ExecutedIds(str(tmp_path))
+    truncate = os.ftruncate
+
+    def truncate_and_claim(descriptor: int, length: int) -> None:
+        truncate(descriptor, length)
+        assert second.claim(b"x")
+
+    monkeypatch.setattr(os, "ftruncate", truncate_and_claim)
+    first.compact()
+    assert not first.claim(b"x") and not second.claim(b"59") and not first.claim(b"59")
+
+
 def test_a_log_that_can_not_be_written_does_not_end_the_service(
     harness: SidecarHarness, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -76,6 +97,19 @@
     assert len(harness.log_lines("ids.failed")) == 2
 
 
+def test_the_log_stays_short_where_operators_can_not_call(
+    make_harness: Callable[..., SidecarHarness], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was written anew by the actor of admin calls only, and counts as memory."""
+    monkeypatch.setattr(executed_ids, "MAX_IDS", 10)
+    monkeypatch.setattr(executed_ids, "MAX_LOG_SIZE", 400)
+    monkeypatch.setattr(stats, "STATS_INTERVAL", 0.05)
+    harness = make_harness()
+    harness.context.share_ids(str(tmp_path))
+    assert all(harness.context.claim_id(b"%d" % i) for i in range(100))
+    harness.wait_until(lambda: (tmp_path / IDS_FILE).stat().st_size <= 400)
+
+
 @pytest.fixture
 def quiet_harness(make_harness: Callable[..., SidecarHarness]) -> SidecarHarness:
     """Return a harness without health checks and hedges."""
