Soak and fakes: lines written twice, a constant and a table that stood elsewhere, unused names

Two lines of the soak's servers stood twice, HANG_TIME in three places, the classes' methods in three, one field of a delivery and one parameter of SingleSidecar were never used. Change: each stands once or is gone. No product code, no assertion, bound or draw changes.

--- a/fakes/delivery.py
+++ b/fakes/delivery.py
@@ -39,7 +39,6 @@
     limit: float = inf  # bytes of the body that are written before an ending other than COMPLETE
 
     head_at: float | None = None
-    body_at: float | None = None
     sent: int = 0  # bytes of the body
     completed_at: float | None = None
     broken_at: float | None = None  # when the other side had closed the connection before the end
--- a/fakes/http1.py
+++ b/fakes/http1.py
@@ -221,7 +221,6 @@
                 await writer.drain()
                 delivery.head_at = delivery.note()
                 await asyncio.sleep(delivery.body_delay)
-                delivery.body_at = delivery.note()
                 for piece in delivery.pieces(response.body):
                     framed = piece if delivery.framing is Framing.CLOSE else http.send(h11.Data(data=piece))
                     writer.write(framed or b"")
--- a/fakes/upstream.py
+++ b/fakes/upstream.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 from math import inf
 
+from .delivery import HANG_TIME
 from .http1 import RESET, Request, Response, Server
 
 NEVER_RAN = {"X-Never-Ran": "1"}
-HANG_TIME = 3600  # seconds, longer than any trial
 
 
 @dataclass(frozen=True)
--- a/tests/test_late_bodies.py
+++ b/tests/test_late_bodies.py
@@ -16,13 +16,13 @@
 from fakes.delivery import Delivery, Framing
 from fakes.http1 import Handler, Request, Response
 from trials.single import SingleSidecar, request_class
+from trials.soak.plan import METHODS
 
 CLASSES = [
     request_class("read", "free", 0.3, 1.5),
     request_class("pay", "single_shot", 0.25, 1.5),
     request_class("change", "guarded", 0.2, 1.5, dedupScope="all", window=1_500_000),
 ]
-METHODS = {"read": "GET", "pay": "POST", "change": "POST"}
 TIMEOUT = 1.4  # seconds for which clients wait
 LATE = 0.5  # seconds between a head and its body; longer than each objective
 LONG, SHORT = 130_000, 900  # bytes of a body
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -8,13 +8,13 @@
 from fakes.client_connection import ClientConnection, ReceivedResponse, send_request
 from fakes.http1 import Handler, Request, Response
 from trials.single import SingleSidecar, request_class
+from trials.soak.plan import METHODS
 
 CLASSES = [
     request_class("read", "free", 0.6, 1.5),
     request_class("pay", "single_shot", 0.5, 1.5),
     request_class("change", "guarded", 0.4, 1.5, dedupScope="cell", window=200_000),
 ]
-METHODS = {"read": "GET", "pay": "POST", "change": "POST"}
 TIMEOUT = 1.4  # seconds for which clients wait
 WORK = 0.25  # seconds that a server takes for a request
 PROMISES_NO_EFFECT = (429, 503)
--- a/trials/endpoint_list/trial.py
+++ b/trials/endpoint_list/trial.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 from typing import Any
 
+from fakes.delivery import HANG_TIME
 from fakes.discovery import FakeDiscovery
 from fakes.http1 import ConnectionBrokenError, Handler, Request, Response, Server
 
@@ -31,7 +32,6 @@
 RESPONSE_TOLERANCE = 0.5  # seconds after its deadline in which a response still counts
 SERVICE_TIME = 0.01  # seconds
 DEADLINE = 1.0  # seconds
-HANG_TIME = 3600  # seconds, longer than any trial
 MAX_DISCONNECT_DELAY = 0.1  # seconds, for clients that disconnect early
 METHODS = {"look": "GET", "buy": "POST", "move": "POST"}
 CATEGORY_WEIGHTS = {"look": 0.5, "buy": 0.3, "move": 0.2}
--- a/trials/single.py
+++ b/trials/single.py
@@ -45,16 +45,15 @@
         passed_socket: bool = False,
         settings: Json | None = None,
         limits: Json | None = None,
-        host_number: int = 1,
     ) -> None:
         """Create everything without starting it.
 
         `handler_for` returns the handler of the server of that name. `settings` and `limits` override parts
-        of the configuration. Of several sidecars each has a `host_number` of its own.
+        of the configuration.
         """
         self.root, self.categories = root, categories
         self.settings, self.limits = settings or {}, limits or {}
-        self.host = loopback_host(host_number)
+        self.host = loopback_host(1)
         self.servers = {f"s{number}": Server(handler_for(f"s{number}")) for number in range(servers)}
         self.entries: dict[str, Json] = {}
         self.endpoint_list = EndpointListServer(lambda: list(self.entries.values()))
--- a/trials/soak/servers.py
+++ b/trials/soak/servers.py
@@ -26,7 +26,6 @@
         """Begin with the first process."""
         self.name, self.cell, self.starts = name, cell, 1
         self.known_at = -inf  # from when on the sidecar can know of the process
-        self.known_at = -inf  # from when on the sidecar can know of the process
 
     @property
     def endpoint_id(self) -> str:
@@ -66,7 +65,6 @@
         plan, now = record.plan, asyncio.get_running_loop().time()
         run = Run(now, identity.endpoint_id, identity.cell, has_run=not plan.never_ran)
         run.place_known = now > identity.known_at
-        run.place_known = now > identity.known_at
         if not plan.upload:
             run.told_timeout = int(request.headers.get("x-expires-in-ms", "0")) / 1000
             run.time_left = record.first_sent_at + plan.timeout - now
