Soak: the servers' cells are in the list that the sidecar starts with

The sidecar was started with a list without cells, in which all servers share one, and got the cells with the first change, sent as the load began. A retry before that was read stayed within the scope as listed. Change: the first list has the cells; the judge and its bounds are as they were.

--- a/trials/single.py
+++ b/trials/single.py
@@ -45,14 +45,16 @@
         passed_socket: bool = False,
         settings: Json | None = None,
         limits: Json | None = None,
+        entry_fields: Callable[[str], Json] = lambda name: {},
     ) -> None:
         """Create everything without starting it.
 
         `handler_for` returns the handler of the server of that name. `settings` and `limits` override parts
-        of the configuration.
+        of the configuration. `entry_fields` returns further fields of a server's first entry in the list.
         """
         self.root, self.categories = root, categories
         self.settings, self.limits = settings or {}, limits or {}
+        self.entry_fields = entry_fields
         self.host = loopback_host(1)
         self.servers = {f"s{number}": Server(handler_for(f"s{number}")) for number in range(servers)}
         self.entries: dict[str, Json] = {}
@@ -80,7 +82,7 @@
             await self.endpoint_list.server.start()
             for name, server in self.servers.items():
                 await server.start()
-                self.entries[name] = self.entry(name)
+                self.entries[name] = self.entry(name, **self.entry_fields(name))
             if self.is_replaceable:
                 self.listener = socket.create_server((self.host, 0), backlog=BACKLOG)
             self.start_process()
--- a/trials/soak/run.py
+++ b/trials/soak/run.py
@@ -43,6 +43,7 @@
             root,
             passed_socket=plan.is_replaced,
             limits={"memory_mb": MEMORY_LIMIT_MB, "sockets": 384},
+            entry_fields=lambda name: {"cell": self.servers.identities[name].cell},
         )
         self.peak_memory = 0
         self.terminated: set[str] = set()  # processes that were told to stop
@@ -52,7 +53,6 @@
         loop = asyncio.get_running_loop()
         async with self.sidecar:
             list(self.sidecar.servers.values())[0].read_pause = SLOW_READ_PAUSE
-            self._list_servers()
             self.started_at = loop.time()
             self.clients = SoakClients(
                 self.sidecar.address, self.judge, self.plan.rng, self.plan.has_crowd or self.plan.has_noise
