--- a/fakes/delivery.py
+++ b/fakes/delivery.py
@@ -10,6 +10,7 @@
 
 PIECE_INTERVAL = 0.02  # seconds between the pieces of a body that is written at a limited rate
 HANG_TIME = 3600.0  # seconds, longer than any trial
+NOISE = b"\x16\x03\x01~~ no chunk ~~"
 
 
 class Framing(enum.Enum):
@@ -25,6 +26,8 @@
 
     COMPLETE = "complete"
     RESET = "reset"
+    CLOSE = "early close"  # the connection is closed as usual
+    NOISE = "noise"  # bytes that are no part of HTTP; the connection stays open
     HANG = "hang"  # nothing; the connection stays open
 
 
@@ -37,11 +40,15 @@
     rate: float = inf  # bytes of the body a second
     ending: Ending = Ending.COMPLETE
     limit: float = inf  # bytes of the body that are written before an ending other than COMPLETE
+    ending_delay: float = 0.0  # between the last byte of the body and an ending other than COMPLETE
+    piece_size: int = 0  # bytes that each write has at most, of the head and the framing too; 0: no limit
+    piece_pause: float = 0.0  # between such writes
 
     head_at: float | None = None
     sent: int = 0  # bytes of the body
     completed_at: float | None = None
     broken_at: float | None = None  # when the other side had closed the connection before the end
+    ended_at: float | None = None  # when an ending other than COMPLETE began
 
     @property
     def is_sound(self) -> bool:
--- a/fakes/http1.py
+++ b/fakes/http1.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from .delivery import HANG_TIME, PIECE_INTERVAL, Delivery, Ending, Framing
+from .delivery import HANG_TIME, NOISE, PIECE_INTERVAL, Delivery, Ending, Framing
 from .loopback import loopback_host
 
 READ_SIZE = 65536  # bytes per read
@@ -217,30 +217,47 @@
         writer, http = connection.writer, connection.http
         try:
             async with cancel_when_closed(connection.reader):
-                writer.write(self._delivery_head(http, response, delivery))
-                await writer.drain()
-                delivery.head_at = delivery.note()
-                await asyncio.sleep(delivery.body_delay)
-                for piece in delivery.pieces(response.body):
-                    framed = piece if delivery.framing is Framing.CLOSE else http.send(h11.Data(data=piece))
-                    writer.write(framed or b"")
-                    await writer.drain()
-                    delivery.sent += len(piece)
-                    if delivery.rate != inf:
-                        await asyncio.sleep(PIECE_INTERVAL)
-                if delivery.ending is Ending.HANG:
+                await self._write_delivery(connection, response, delivery)
+                if not delivery.is_sound:
+                    await asyncio.sleep(delivery.ending_delay)
+                    delivery.ended_at = delivery.note()
+                if delivery.ending is Ending.NOISE:
+                    writer.write(NOISE)
+                if delivery.ending in (Ending.HANG, Ending.NOISE):
                     await asyncio.sleep(HANG_TIME)
         except (asyncio.CancelledError, OSError):
             delivery.broken_at = delivery.note()
             raise
         if delivery.ending is Ending.RESET:
             abort(writer)
-        elif delivery.framing is not Framing.CLOSE:
-            writer.write(http.send(h11.EndOfMessage()) or b"")
-            await writer.drain()
-        if delivery.ending is Ending.COMPLETE:
+        elif delivery.is_sound and delivery.framing is not Framing.CLOSE:
+            await self._write_pieces(writer, http.send(h11.EndOfMessage()) or b"", delivery)
+        if delivery.is_sound:
             delivery.completed_at = delivery.note()
 
+    async def _write_delivery(self, connection: Connection, response: Response, delivery: Delivery) -> None:
+        """Write the head, and the body up to its limit."""
+        writer, http = connection.writer, connection.http
+        await self._write_pieces(writer, self._delivery_head(http, response, delivery), delivery)
+        delivery.head_at = delivery.note()
+        await asyncio.sleep(delivery.body_delay)
+        for piece in delivery.pieces(response.body):
+            framed = piece if delivery.framing is Framing.CLOSE else http.send(h11.Data(data=piece))
+            await self._write_pieces(writer, framed or b"", delivery)
+            delivery.sent += len(piece)
+            if delivery.rate != inf:
+                await asyncio.sleep(PIECE_INTERVAL)
+
+    @staticmethod
+    async def _write_pieces(writer: asyncio.StreamWriter, data: bytes, delivery: Delivery) -> None:
+        """Write bytes, in pieces if the delivery says so."""
+        size = delivery.piece_size or len(data)
+        for start in range(0, len(data), max(1, size)):
+            writer.write(data[start : start + size])
+            await writer.drain()
+            if delivery.piece_pause:
+                await asyncio.sleep(delivery.piece_pause)
+
     @staticmethod
     def _delivery_head(http: h11.Connection, response: Response, delivery: Delivery) -> bytes:
         """Return the head; h11 would frame a response without a length in chunks, so that one bypasses it."""
