The status of a response is held back until something requires it

Cause: a response of unknown length was passed on at half the latency objective (relay_time), one of a declared length over 64 KiB with its first byte. Nothing required the status then, and the endpoint could still fail: a commitment made at a fixed time. The status is passed on once more than 64 KiB have come, 1.5 s after the first byte of the body (no byte may be held back for 2 s), or just before the client's time ends, a part of a body before a head alone; before that, every end of the attempt leaves a retry, a rejection or a failure. HTTP/1.1 and HTTP/2 alike. What has arrived unread is read before a commitment at a time; a response that breaks off before its client's connection has written a byte is withdrawn (504). A stop that moves deadlines wakes the exchanges. From the head of a response that may be long on its attempt is no load. The log says why a response was begun, and which request a client's end cut off.

--- a/starlingwheel/decisions/balancer.py
+++ b/starlingwheel/decisions/balancer.py
@@ -146,8 +146,8 @@
         """Record that an endpoint has begun to respond."""
         self.outcomes.record_head(attempt)
 
-    def response_relayed(self, attempt: Attempt) -> None:
-        """Stop counting an attempt as load, as its response is being passed on."""
+    def release_load(self, attempt: Attempt) -> None:
+        """Stop counting an attempt as load: its endpoint has begun a response that may take any time."""
         self.load.note_ended(attempt)
 
     def attempt_ended(self, event: AttemptEnded) -> None:
--- a/starlingwheel/decisions/scheduler.py
+++ b/starlingwheel/decisions/scheduler.py
@@ -167,17 +167,22 @@
             scheduled.answered = True
         self._resume(scheduled, event)
 
-    def head_received(self, attempt: Attempt) -> None:
-        """Handle the head of a successful response, of which the client has got nothing yet."""
+    def head_received(self, attempt: Attempt, is_load: bool = True) -> None:
+        """Handle the head of a successful response, of which the client has got nothing yet.
+
+        `is_load`: the attempt counts as load until its end, or until the latency objective has passed.
+        """
         if attempt.pending:
             attempt.head_received = True
             self.balancer.head_received(attempt)
+            if not is_load:
+                self.balancer.release_load(attempt)
             self._resume_request(attempt.request, None)
 
     def response_started(self, attempt: Attempt, is_load: bool = True) -> None:
         """Handle the start of a streamed response; `is_load`: it counts as load until its end."""
         if not is_load:
-            self.balancer.response_relayed(attempt)
+            self.balancer.release_load(attempt)
         self._resume_request(attempt.request, ResponseStarted(attempt))
 
     def client_disconnected(self, request: Request) -> None:
--- a/starlingwheel/net/context.py
+++ b/starlingwheel/net/context.py
@@ -8,6 +8,7 @@
 
 import random
 import resource
+from collections import Counter
 from collections.abc import Callable, Collection, Mapping
 from math import inf
 from typing import Any, Protocol
@@ -17,6 +18,7 @@
 from ..decisions.config import BalancerConfig, RequestClass, RetrySafety
 from ..decisions.events import WatchEvent
 from ..decisions.lease import EndpointLease
+from ..decisions.response_commitment import CommitReason
 from ..settings import contradictions
 from .actor import Actor
 from .discovery.messages import DiscoveredEndpoint
@@ -29,6 +31,7 @@
 from .state.connections import ConnectionTracker
 from .state.executed_ids import ExecutedIds
 from .state.overrides import EndpointOverrides
+from .state.requests import Exchange
 from .state.response_variety import ResponseVariety
 from .state.siblings import SiblingProcesses
 
@@ -131,6 +134,8 @@
         self.executed_ids = ExecutedIds(None)
         self.active_traces: set[bytes] = set()  # trace ids of the requests that clients wait for
         self.resets_expected_until = -inf  # until then connections to endpoints may be reset at any time
+        self.commitments: Counter[CommitReason] = Counter()  # responses passed on before they were complete
+        self.broken_responses = 0  # of those, the ones that their endpoints broke off
         self.unsolicited_responses_until = -inf  # until then unsolicited responses may arrive at any time
         self.response_variety = ResponseVariety()
         self.stopping = False
@@ -294,5 +299,18 @@
         exchange.connection.post(EndStalledResponse(exchange))
         return True
 
+    def note_commitment(self, exchange: Exchange, reason: CommitReason, body_bytes: int) -> None:
+        """Count and log that a response is passed to its client before it is complete."""
+        self.commitments[reason] += 1
+        if exchange.pending is not None:
+            self.log(
+                "response.begun",
+                trace=exchange.pending.trace_id.decode("latin-1"),
+                id=exchange.endpoint.endpoint_id,
+                why=reason,
+                body_bytes=body_bytes,
+                after_ms=round((self.loop.now() - exchange.started_at) * 1000),
+            )
+
     def _log_error(self, actor: Actor, error: Exception) -> None:
         self.log.exception("defect", error, actor=type(actor).__name__)
--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -17,6 +17,7 @@
 from .discovery.messages import LEFT_STATE, DiscoveredEndpoint
 from .http.pool import ConnectionPool
 from .messages import (
+    DEADLINE_MOVED,
     WATCH_ENDPOINTS,
     CancelExchange,
     ClientDisconnected,
@@ -111,17 +112,25 @@
                 self.scheduler.gossip_received(peer, body)
             case ShutdownStarted(answer_by):
                 self.scheduler.begin_shutdown(answer_by)
+                self._move_deadlines()
 
     def _handle_response(self, message: ResponseHeadReceived | ResponseStarted | ExchangeEnded) -> None:
         match message:
-            case ResponseHeadReceived(exchange):
+            case ResponseHeadReceived(exchange, may_be_long):
                 if exchange.attempt is not None:
-                    self.scheduler.head_received(exchange.attempt)
+                    self.scheduler.head_received(exchange.attempt, is_load=not may_be_long)
             case ResponseStarted(exchange, response):
                 self._response_started(exchange, response)
             case ExchangeEnded(exchange, outcome, load_report, response):
                 self._exchange_ended(exchange, outcome, load_report, response)
 
+    def _move_deadlines(self) -> None:
+        """Have the exchanges of all requests notice that the process has been stopped."""
+        for pending in self.pending_requests.values():
+            for exchange in pending.exchanges.values():
+                if exchange.connection is not None:
+                    exchange.connection.post(DEADLINE_MOVED)
+
     def _timer_due(self) -> None:
         if self.restart_at <= self.scheduler.now:
             self.restart_at = inf
@@ -177,7 +186,10 @@
         load_report: dict[str, float],
         response: UpstreamResponse | None,
     ) -> None:
-        duration = self.loop.now() - exchange.started_at
+        ended_at = self.loop.now()
+        if outcome is AttemptOutcome.SUCCESS and response is None and exchange.body_began_at is not None:
+            ended_at = exchange.body_began_at  # the first bytes of a long response are timed
+        duration = ended_at - exchange.started_at
         attempt, pending = exchange.attempt, exchange.pending
         if attempt is None or pending is None:
             self.scheduler.health_check_ended(exchange.endpoint.endpoint_id, outcome, duration, load_report)
--- a/starlingwheel/net/http/client_connection.py
+++ b/starlingwheel/net/http/client_connection.py
@@ -28,7 +28,7 @@
 from .errors import CloseReason, ConnectionLostError, InvalidRequestError, InvalidRequestReason
 from .request_parser import declared_length, parse_request
 from .request_progress import IDLE_TIMEOUT, RequestProgress
-from .response_writer import ResponseWriter
+from .response_writer import ResponseWriter, withdraw_if_broken
 from .stream import Stream, note_arrival_times
 from .upload_relay import UploadRelay
 
@@ -61,6 +61,7 @@
         self.body_stream: BodyStream | None = None  # replaces `body` for a body that is too long to buffer
         self.arrival: BodyArrival | None = None  # set with `body_stream`
         self.pending: PendingRequest | None = None
+        self.open_trace = b""  # the id of the request that has not got its whole response yet
         context.connections.clients[self] = None
         context.connections.silent_clients[self] = None
         context.connections.update_peak()
@@ -108,7 +109,9 @@
             else:
                 pending = self._accept_request(request)
                 accepted = True
+                self.open_trace = pending.trace_id
                 final = yield from self._wait_for_response(pending, self.body_stream)
+                final = withdraw_if_broken(final)
                 status = final.status
         except InvalidRequestError as error:
             status = error.status
@@ -124,7 +127,6 @@
         # A client whose request was invalid has to reconnect, so that it can't send invalid requests at full
         # speed.
         yield from self._respond(status, final, close=final is None and status != 200)
-        self.response_count += 1
 
     def _accept_request(self, request: h11.Request) -> PendingRequest:
         """Parse a request, which then owns its body.
@@ -328,6 +330,8 @@
         ending = context.stopping or context.draining or self.reason_when_idle is not None
         close = close or unread or ending or context.connections.is_full
         yield from self.writer.write(status, final, close)
+        self.open_trace = b""
+        self.response_count += 1
         if close or http.our_state is not h11.DONE:
             announced = final is not None or status == 200
             self.reason = CloseReason.CLOSE_ANNOUNCED if announced else CloseReason.answered(status)
@@ -346,4 +350,6 @@
         self.stream.close()
         self.context.connections.remove_client(self)
         reason = self.reason or CloseReason.DEFECT
-        self.context.log("client.end", reason=reason, served=self.response_count)
+        self.context.broken_responses += reason is CloseReason.UPSTREAM_BROKE
+        details = {"trace": self.open_trace.decode("latin-1")} if self.open_trace else {}
+        self.context.log("client.end", reason=reason, served=self.response_count, **details)
--- a/starlingwheel/net/http/http1.py
+++ b/starlingwheel/net/http/http1.py
@@ -190,10 +190,10 @@
 
     # Called by the reader (`ResponseObserver`).
 
-    def head_received(self) -> None:
+    def head_received(self, may_be_long: bool) -> None:
         """Tell the coordinator that the endpoint has begun a successful response."""
         if self.exchange is not None:
-            self.context.coordinator.post(ResponseHeadReceived(self.exchange))
+            self.context.coordinator.post(ResponseHeadReceived(self.exchange, may_be_long))
 
     def relay_started(self, response: UpstreamResponse) -> None:
         """Have the coordinator pass a response to the client while it arrives."""
--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -22,6 +22,7 @@
 import h2.settings
 
 from ...decisions.model import AttemptOutcome
+from ...decisions.response_commitment import CommitReason, commit_reason
 from ..actor import Coroutine
 from ..loop import READ, WRITE, SocketReady
 from ..messages import (
@@ -157,9 +158,11 @@
 
     def _end_expired(self) -> None:
         now = self.loop.now()
+        if any(e.commit_at <= now for e in self.streams.values()) and not self.stream.has_no_input():
+            self._read()  # the end of a response may have come before its status has to be given away
         for stream_exchange in [e for e in self.streams.values() if e.next_deadline <= now]:
-            if stream_exchange.relay_at <= now:
-                self._begin_relay(stream_exchange)
+            if stream_exchange.commit_at <= now:
+                self._begin_relay(stream_exchange, commit_reason(stream_exchange.exchange.body_began_at, now))
             else:
                 stalled = stream_exchange.relay is not None
                 outcome = AttemptOutcome.RESET if stalled else AttemptOutcome.TIMED_OUT
@@ -300,7 +303,7 @@
         """Add data of a response, which has used up `window` bytes of the windows."""
         was_relayed = stream_exchange.relay is not None
         if stream_exchange.needs_relay(data):
-            self._begin_relay(stream_exchange)
+            self._begin_relay(stream_exchange, CommitReason.LONG)
         try:
             stream_exchange.add(data, self.loop.now(), self.context.buffer_pool.max_body_size)
         except BuffersExhaustedError:
@@ -324,12 +327,13 @@
             self._end_exchange(stream_exchange, stream_exchange.outcome)
         elif not exchange.head_received:
             exchange.head_received = True
-            self.context.coordinator.post(ResponseHeadReceived(exchange))
+            self.context.coordinator.post(ResponseHeadReceived(exchange, stream_exchange.may_pass_on))
 
     # Responses that are passed on while they arrive.
 
-    def _begin_relay(self, stream_exchange: StreamExchange) -> None:
+    def _begin_relay(self, stream_exchange: StreamExchange, reason: CommitReason) -> None:
         has_data = bool(stream_exchange.body.length)
+        self.context.note_commitment(stream_exchange.exchange, reason, stream_exchange.body.length)
         response = stream_exchange.begin_relay(self, self.loop.now())
         self.context.connections.note_waiting_response(stream_exchange.exchange, self.loop.now())
         self.context.coordinator.post(ResponseStarted(stream_exchange.exchange, response))
--- a/starlingwheel/net/http/http2_stream.py
+++ b/starlingwheel/net/http/http2_stream.py
@@ -11,8 +11,8 @@
 from ..state.body_stream import MAX_STREAMED_BODY, BodyStream, StreamEnd
 from ..state.buffers import MAX_BUFFERED_BODY, BufferedBody, BuffersExhaustedError
 from ..state.requests import Exchange, UpstreamResponse
-from .response_head import response_outcome
-from .upstream_response import RELAY_STALL_TIMEOUT, relay_time
+from .response_head import may_pass_on, response_outcome
+from .upstream_response import RELAY_STALL_TIMEOUT
 
 INVALID_STATUS = 1  # stands for a status that is not a number: an error, and the request may have run
 
@@ -60,15 +60,20 @@
         return int(value) if value.isdigit() else None
 
     @property
-    def relay_at(self) -> float:
+    def may_pass_on(self) -> bool:
+        """Whether the response may be passed on while it arrives."""
+        return bool(self.status) and may_pass_on(self.exchange, self.status, self.length)
+
+    @property
+    def commit_at(self) -> float:
         """The time at which the response is passed on though it is not complete."""
-        return relay_time(self.exchange, self.status, self.length) if self.awaits_rest else inf
+        return self.exchange.commit_at if self.awaits_rest and self.may_pass_on else inf
 
     @property
     def next_deadline(self) -> float:
         """The time at which something is due if no data comes: the relay, or the end of the exchange."""
         if self.relay is None:
-            return min(self.exchange.deadline, self.relay_at)
+            return min(self.exchange.deadline, self.commit_at)
         return inf if self.relay.is_full else self.last_data_at + RELAY_STALL_TIMEOUT
 
     def begin_relay(self, source: StreamEnd, now: float) -> UpstreamResponse:
@@ -103,11 +108,13 @@
 
     def needs_relay(self, data: bytes) -> bool:
         """Return whether the body is too long to be buffered, now that `data` has come."""
-        is_long = max(self.length or 0, self.body.length + len(data)) > MAX_BUFFERED_BODY
-        return self.awaits_rest and self.outcome is AttemptOutcome.SUCCESS and is_long
+        is_long = self.body.length + len(data) > MAX_BUFFERED_BODY
+        return self.awaits_rest and self.may_pass_on and is_long
 
     def add(self, data: bytes, now: float, max_body_size: int) -> None:
         """Add data of the body. Raises `BuffersExhaustedError`, also for a body that is too long."""
+        if self.exchange.body_began_at is None and data:
+            self.exchange.body_began_at = now
         if self.relay is None:
             if self.body.length + len(data) > max_body_size:
                 raise BuffersExhaustedError
--- a/starlingwheel/net/http/response_head.py
+++ b/starlingwheel/net/http/response_head.py
@@ -8,6 +8,8 @@
 
 from ...decisions.model import AttemptOutcome
 from ..state.body_stream import MAX_STREAMED_BODY
+from ..state.buffers import MAX_BUFFERED_BODY
+from ..state.requests import Exchange
 from .errors import CloseReason, ConnectionLostError
 
 
@@ -36,3 +38,9 @@
     if status in (503, 504) and headers.get(b"x-never-ran") == b"1":
         return AttemptOutcome.REJECTED
     return AttemptOutcome.ERROR
+
+
+def may_pass_on(exchange: Exchange, status: int, length: int | None) -> bool:
+    """Return whether a response may be passed on while it arrives; `length` is that of its body, if known."""
+    is_short = length is not None and length <= MAX_BUFFERED_BODY
+    return exchange.pending is not None and status == 200 and not is_short
--- a/starlingwheel/net/http/response_writer.py
+++ b/starlingwheel/net/http/response_writer.py
@@ -8,16 +8,17 @@
 import h11
 
 from ..loop import HANGUP, WRITE, SocketReady
+from ..messages import FinalResponse
 from ..state.body_stream import BodyStream
 from ..state.buffers import MAX_BUFFERED_BODY
 from .errors import CloseReason, ConnectionLostError
 
 if TYPE_CHECKING:
     from ..actor import Coroutine
-    from ..messages import FinalResponse
     from ..state.requests import Headers
     from .stream import Stream
 
+GATEWAY_TIMEOUT = 504
 WRITE_STALL_TIMEOUT = 4.0  # seconds without progress after which the connection of a slow reader is closed
 
 
@@ -37,6 +38,15 @@
     return headers
 
 
+def withdraw_if_broken(final: FinalResponse) -> FinalResponse:
+    """Return a failure in place of a response that has broken off before any byte of it was written."""
+    body = final.response.body if final.response else None
+    if not isinstance(body, BodyStream) or not body.aborted:
+        return final
+    body.release()
+    return FinalResponse(GATEWAY_TIMEOUT)
+
+
 class ResponseWriter:
     """Writes the responses of one connection."""
 
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -1,8 +1,8 @@
 """Reads the response of one HTTP/1.1 exchange: a short body is buffered, a long one is relayed.
 
-From the head of a successful response on the exchange has the time of its client, and not that of the latency
-objective. A response of more than `MAX_BUFFERED_BODY`, or of unknown length, begins for the client with its
-first bytes or, if those come late, with its head; from then on only the endpoint or the client ends it.
+From the head of a successful response on the exchange has the time of its client, and not that of the
+latency objective. A response of more than `MAX_BUFFERED_BODY`, or of unknown length, is passed on once that
+is required (`decisions.response_commitment`); from then on only the endpoint or the client ends it.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 import h11
 
 from ...decisions.model import AttemptOutcome
+from ...decisions.response_commitment import CommitReason, commit_reason
 from ..loop import READ, SocketReady
 from ..messages import CancelExchange, EndStalledResponse
 from ..state.body_stream import MAX_STREAMED_BODY, BodyStream
@@ -22,7 +23,7 @@
 from .errors import CloseReason, ConnectionLostError
 from .exchange_events import next_socket_event
 from .load_report import extract_load_report
-from .response_head import response_length, response_outcome
+from .response_head import may_pass_on, response_length, response_outcome
 
 if TYPE_CHECKING:
     from ..actor import Coroutine
@@ -30,9 +31,6 @@
     from .response_attribution import ResponseAttribution
     from .stream import Stream
 
-# Of the latency objective or, if it is shorter, of the client's time: when a response that may be long is
-# passed on at the latest.
-RELAY_DELAY_FRACTION = 1 / 2
 RELAY_STALL_TIMEOUT = 5.0  # seconds without a byte after which a relayed response counts as lost
 VERSION_PREFIX = b"HTTP/1."
 
@@ -49,7 +47,7 @@
 class ResponseObserver(Protocol):
     """What a reader tells its connection before the response is complete."""
 
-    def head_received(self) -> None:
+    def head_received(self, may_be_long: bool) -> None:
         """Handle the head of a successful response, the rest of which is still to come."""
 
     def relay_started(self, response: UpstreamResponse) -> None:
@@ -59,18 +57,6 @@
         """Handle the result of the exchange, which the rest of the response can't change."""
 
 
-def relay_time(exchange: Exchange, status: int, length: int | None) -> float:
-    """Return the time at which a response is passed on though no byte of its body has come.
-
-    Infinite for one that is known to be short, or is not passed on at all.
-    """
-    if exchange.pending is None or status != 200 or (length is not None and length <= MAX_BUFFERED_BODY):
-        return inf
-    request = exchange.pending.request
-    time_left = min(request.request_class.latency_objective, request.time_left)
-    return request.arrived_at + RELAY_DELAY_FRACTION * time_left
-
-
 class ResponseReader:
     """Reads one response; owns the body until it is passed to the client."""
 
@@ -88,6 +74,7 @@
         "relay",
         "is_complete",
         "is_result_known",
+        "has_read_before_commit",
     )
 
     def __init__(
@@ -110,6 +97,7 @@
         self.relay: BodyStream | None = None  # set once the response is passed on while it arrives
         self.is_complete = False
         self.is_result_known = False  # whether the result has been reported
+        self.has_read_before_commit = False  # whether it looked for input once the commitment was due
 
     def read(self) -> Coroutine[h11.Response]:
         """Read the response and return its head; the body is then in `body` or has been relayed.
@@ -166,9 +154,11 @@
 
     def _add(self, data: bytes | bytearray) -> None:
         self.attribution.add_body(data)
+        if self.exchange.body_began_at is None:
+            self.exchange.body_began_at = self.context.loop.now()
         expected = max(self.length or 0, self.attribution.length)
         if self.relay is None and expected > MAX_BUFFERED_BODY:
-            self._begin_long_body()
+            self._check_long_body()
         if self.attribution.length > MAX_STREAMED_BODY:
             raise ConnectionLostError(CloseReason.RESPONSE_TOO_LONG)
         try:
@@ -176,12 +166,15 @@
         except BuffersExhaustedError:
             raise ConnectionLostError(CloseReason.NO_BUFFERS) from None
 
-    def _begin_long_body(self) -> None:
-        """Begin to relay a body that is too long to buffer, unless it may be that of a copy."""
-        if self.exchange.pending is None or self.outcome is not AttemptOutcome.SUCCESS:
+    def _check_long_body(self) -> None:
+        """Begin to relay a body once too much of it has come, unless it may be that of a copy.
+
+        Raises `ConnectionLostError` for one that is not passed on.
+        """
+        if not self._may_pass_on():
             raise ConnectionLostError(CloseReason.RESPONSE_TOO_LONG)
-        if self._is_attributed():
-            self._begin_relay()
+        if self.attribution.length > MAX_BUFFERED_BODY and self._is_attributed():
+            self._begin_relay(CommitReason.LONG)
 
     def _store(self, data: bytes | bytearray) -> None:
         """Add data to the relay once it is certain that it belongs to this request."""
@@ -216,7 +209,11 @@
 
     # Passing the response on, or its result.
 
-    def _begin_relay(self) -> None:
+    def _may_pass_on(self) -> bool:
+        """Return whether the response may be passed on while it arrives."""
+        return self.head is not None and may_pass_on(self.exchange, self.head.status_code, self.length)
+
+    def _begin_relay(self, reason: CommitReason) -> None:
         """Pass the response to the client while it arrives.
 
         It is the final one, which from now on only the endpoint or the client can end. The head tells nothing
@@ -226,6 +223,7 @@
         if self._is_attributed():
             received, self.body = self.body, received
         self.relay = BodyStream(self.context.buffer_pool, self.stream.actor, self.length, received)
+        self.context.note_commitment(self.exchange, reason, self.attribution.length)
         self.observer.relay_started(UpstreamResponse(self.relay, self._content_type))
         if received.length:
             self._report_result()
@@ -247,7 +245,7 @@
                 self._report_result()
         elif not self.exchange.head_received:
             self.exchange.head_received = True
-            self.observer.head_received()
+            self.observer.head_received(self._may_pass_on())
 
     # Waiting for more.
 
@@ -259,7 +257,7 @@
             raise ConnectionLostError(CloseReason.CANCELLED)
 
     def _receive(self) -> Coroutine[None]:
-        """Wait for more of the response and read it; begin to relay a response that takes long."""
+        """Wait for more of the response and read it; begin to relay a response that has to be passed on."""
         if self.head is None:
             self._check_prefix()
         else:
@@ -267,14 +265,22 @@
         if self.relay is not None:
             yield from self._receive_for_relay(self.relay)
             return
-        relay_at = inf if self.head is None else relay_time(self.exchange, self.head.status_code, self.length)
+        commit_at = self.exchange.commit_at if self._may_pass_on() else inf
+        if self.context.loop.now() >= commit_at:
+            self._read_or_commit()
+            return
         deadline = self.exchange.deadline
-        ready = yield from next_socket_event(self.exchange, deadline, CloseReason.OVERDUE, relay_at)
-        if ready is None:
-            self._begin_relay()
-        else:
+        if (yield from next_socket_event(self.exchange, deadline, CloseReason.OVERDUE, commit_at)):
             self.stream.read()
 
+    def _read_or_commit(self) -> None:
+        """Begin to relay the response, unless its end has come meanwhile and is still unread."""
+        if not self.has_read_before_commit and not self.stream.has_no_input():
+            self.has_read_before_commit = True
+            self.stream.read()
+        else:
+            self._begin_relay(commit_reason(self.exchange.body_began_at, self.context.loop.now()))
+
     def _check_prefix(self) -> None:
         """Raise `ConnectionLostError` for input that is not HTTP.
 
--- a/starlingwheel/net/lifecycle/stats.py
+++ b/starlingwheel/net/lifecycle/stats.py
@@ -46,5 +46,7 @@
                 rejected_stale=context.gate.stale_rejections,
                 gate_violations=context.gate.violations,
                 written_late=context.gate.late_writes,
+                begun={reason.value: count for reason, count in context.commitments.items()},
+                broken_off=context.broken_responses,
             )
             self.loop.max_timer_delay = context.coordinator.slowest_turn = 0.0
--- a/starlingwheel/net/messages.py
+++ b/starlingwheel/net/messages.py
@@ -39,9 +39,13 @@
 
 @dataclass(slots=True, eq=False)
 class ResponseHeadReceived:
-    """To the coordinator: the head of a successful response has come, and the rest is still to come."""
+    """To the coordinator: the head of a successful response has come, and the rest is still to come.
+
+    `may_be_long`: the response is longer than what is buffered, or may be.
+    """
 
     exchange: Exchange
+    may_be_long: bool
 
 
 @dataclass(slots=True, eq=False)
@@ -114,6 +118,10 @@
     exchange: Exchange
 
 
+class DeadlineMoved:
+    """To a connection to an endpoint: its exchanges have to end earlier, as the process has been stopped."""
+
+
 @dataclass(slots=True, eq=False)
 class ConnectionIdle:
     """To a connection pool: one of its connections can run the next exchange."""
@@ -201,3 +209,4 @@
 STOP = Stop()
 CLOSE = Close()
 DRAIN = Drain()
+DEADLINE_MOVED = DeadlineMoved()
--- a/starlingwheel/net/state/requests.py
+++ b/starlingwheel/net/state/requests.py
@@ -8,6 +8,7 @@
 
 from ...decisions.config import RetrySafety
 from ...decisions.model import Attempt, Request
+from ...decisions.response_commitment import commit_time
 from .body_stream import BodyStream
 from .buffers import BufferedBody
 
@@ -70,6 +71,7 @@
     written: bool = False
     # Whether the head of a successful response has come; the exchange then has the time of its client.
     head_received: bool = False
+    body_began_at: float | None = None  # when the first byte of its response's body came
     admitted_at: float = 0.0  # when the gate admitted it; 0: not yet, or its first byte has been written
 
     @property
@@ -83,6 +85,11 @@
             return self.timeout_at
         return min(self.timeout_at, self.pending.request.deadline)
 
+    @property
+    def commit_at(self) -> float:
+        """The time at which its response is passed on though it is not complete, if it may be."""
+        return inf if self.pending is None else commit_time(self.pending.request, self.body_began_at)
+
     @property
     def body_stream(self) -> BodyStream | None:
         """The request body, if it is forwarded while it arrives."""
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -172,17 +172,19 @@
     """The bodies are forwarded unchanged, within a limit of buffers for each."""
     bodies = [random_bytes(2 * MB, seed) for seed in range(12)]
     clients, upstreams = [], []
+    first = MAX_BUFFERED_BODY + 1  # bytes from which on a body is forwarded
     for number in range(len(bodies)):
         client = harness.connect_client()
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
         client.sendall(harness.request_bytes(x_trace_id=f"t{number}"))
         upstream = harness.accept()
         harness.read_request(upstream)
-        upstream.sendall(HEAD + b"Content-Length: %d\r\n\r\n" % len(bodies[number]) + bodies[number][:100])
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % len(bodies[number])
+        upstream.sendall(head + bodies[number][:first])
         harness.wait_until(lambda: not harness.context.coordinator.pending_requests)
         clients.append(client)
         upstreams.append(upstream)
-    unsent, received = [memoryview(b)[100:] for b in bodies], [bytearray() for _ in bodies]
+    unsent, received = [memoryview(b)[first:] for b in bodies], [bytearray() for _ in bodies]
     peak_buffers = 0
 
     def transfer_some() -> bool:
--- /dev/null
+++ b/tests/test_held_responses.py
@@ -0,0 +1,234 @@
+"""When the status of a response that still arrives is passed to its client, and what is left before that."""
+
+import socket
+import time
+from collections.abc import Callable
+
+import h2.errors
+import pytest
+from conftest import SETTINGS, SidecarHarness, request_class_settings
+from test_response_heads import UNKNOWN_LENGTH, chunk, send_head
+from test_streams import HTTP2_SETTINGS, Http2Upstream
+
+from starlingwheel.decisions import hedging
+from starlingwheel.net.http.response_writer import withdraw_if_broken
+from starlingwheel.net.lifecycle import shutdown
+from starlingwheel.net.messages import STOP, FinalResponse
+from starlingwheel.net.state.body_stream import BodyStream
+from starlingwheel.net.state.buffers import MAX_BUFFERED_BODY, BufferedBody, BufferPool
+from starlingwheel.net.state.requests import UpstreamResponse
+
+OBJECTIVE = 0.25  # seconds; the classes' timeout is twice that, as is the time that clients wait
+CLIENT_TIME = 2 * OBJECTIVE
+LONG = 100_000  # bytes
+CATEGORIES = ["look", "move", "buy"]
+FAILED = {"look": 503, "move": 503, "buy": 504}  # the answers that promise no more than is known
+
+
+@pytest.fixture
+def make(make_harness: Callable[..., SidecarHarness]) -> Callable[..., SidecarHarness]:
+    """Return a function that makes a harness whose classes have an objective in seconds."""
+
+    def make(objective: float = OBJECTIVE, upstreams: int = 1, hedges: bool = False) -> SidecarHarness:
+        caps = SETTINGS["caps"] | {"probing": False, "mayDuplicate": hedges}
+        categories = request_class_settings(int(objective * 1e6))
+        return make_harness(upstreams=upstreams, settings={"categories": categories, "caps": caps})
+
+    return make
+
+
+def begin(
+    harness: SidecarHarness, head: str, body: bytes = b"", category: str = "buy", wait: float = CLIENT_TIME
+) -> tuple[socket.socket, socket.socket]:
+    """Have an endpoint begin its response to a request; return client and endpoint sockets."""
+    client = harness.send_request(category, x_expires_in_ms=str(int(1000 * wait)))
+    upstream = harness.wait_until(harness.accept_any)[1]
+    harness.read_request(upstream)
+    send_head(upstream, head)
+    upstream.sendall(chunk(body) if body and "chunked" in head else body)
+    return client, upstream
+
+
+@pytest.mark.parametrize("head", [*UNKNOWN_LENGTH, f"Content-Length: {LONG}"])
+@pytest.mark.parametrize("body", [b"", b"x" * 3000])
+def test_a_response_is_passed_on_when_its_clients_time_ends_and_not_before(
+    make: Callable[..., SidecarHarness], head: str, body: bytes
+) -> None:
+    """Until then its endpoint may still break off; afterwards only a late answer is left."""
+    harness = make()
+    sent_at = time.monotonic()
+    client, _ = begin(harness, head, body)
+    harness.run_for(0.9 * CLIENT_TIME - (time.monotonic() - sent_at))
+    assert harness.read(client) is None
+    received = harness.wait_until(lambda: harness.read(client))
+    assert received.startswith(b"HTTP/1.1 200") and received.count(b"x") >= len(body)
+    assert time.monotonic() < sent_at + CLIENT_TIME + 0.1
+    (line,) = harness.log_lines("response.begun")
+    assert (line["why"], line["body_bytes"]) == ("client-time", len(body))
+
+
+@pytest.mark.parametrize("head", [*UNKNOWN_LENGTH, f"Content-Length: {LONG}"])
+def test_a_response_is_passed_on_once_more_than_64_kib_have_come(
+    make: Callable[..., SidecarHarness], head: str
+) -> None:
+    """That much shows that the first bytes are timed, and not the last one."""
+    harness = make(objective=1.0)
+    client, upstream = begin(harness, head, b"x" * 60_000, wait=2.0)
+    harness.run_for(0.1)
+    assert harness.read(client) is None
+    more = b"x" * (MAX_BUFFERED_BODY - 60_000 + 1)
+    upstream.sendall(chunk(more) if "chunked" in head else more)
+    assert harness.wait_until(lambda: harness.read(client)).startswith(b"HTTP/1.1 200")
+    assert harness.log_lines("response.begun")[0]["why"] == "long"
+
+
+def test_the_first_bytes_of_a_body_are_not_held_back_for_two_seconds(
+    make: Callable[..., SidecarHarness],
+) -> None:
+    """What comes of a long response has to go on, however long its client waits; a head alone may wait."""
+    harness = make(objective=2.0)
+    client, upstream = begin(harness, "Transfer-Encoding: chunked", wait=3.9)
+    harness.run_for(0.3)
+    upstream.sendall(chunk(b"first"))
+    harness.run_for(1.3)
+    assert harness.read(client) is None
+    harness.run_for(0.4)
+    assert b"first" in (harness.read(client) or b"")
+    assert harness.log_lines("response.begun")[0]["why"] == "held"
+
+
+@pytest.mark.parametrize("category", CATEGORIES)
+@pytest.mark.parametrize("head", [*UNKNOWN_LENGTH, f"Content-Length: {LONG}"])
+@pytest.mark.parametrize("body", [b"", b"x" * 3000])
+def test_a_response_that_breaks_off_while_it_is_held_back_is_answered_by_the_rules_of_its_class(
+    make: Callable[..., SidecarHarness], category: str, head: str, body: bytes
+) -> None:
+    """After the objective no attempt follows: a rejection where that is harmless, else a failure, at once."""
+    harness = make()
+    client, upstream = begin(harness, head, body, category)
+    harness.run_for(1.4 * OBJECTIVE)
+    harness.reset(upstream)
+    broken_at = time.monotonic()
+    assert harness.read_status(client) == FAILED[category]
+    assert time.monotonic() < broken_at + 0.1
+
+
+@pytest.mark.parametrize("category", CATEGORIES)
+def test_a_response_that_breaks_off_while_there_is_time_is_followed_by_a_retry(
+    make: Callable[..., SidecarHarness], category: str
+) -> None:
+    """Its client has got nothing of it yet; a request that must not run twice has failed."""
+    harness = make(objective=1.0, upstreams=2)
+    client, upstream = begin(harness, "Transfer-Encoding: chunked", b"first", category, wait=2.0)
+    harness.run_for(0.55)
+    harness.reset(upstream)
+    if category == "buy":
+        assert harness.read_status(client) == 504
+        return
+    other = harness.wait_until(harness.accept_any)[1]
+    harness.read_request(other)
+    harness.send_response(other, body=b"second")
+    assert harness.read_message(client)[1] == b"second"
+
+
+def test_an_end_that_has_come_by_then_is_seen_before_the_status_is_given_away(
+    make: Callable[..., SidecarHarness],
+) -> None:
+    """The process may be held up over the time at which the response has to be passed on."""
+    harness = make()
+    client, upstream = begin(harness, "Transfer-Encoding: chunked", b"first")
+    harness.run_for(0.1)
+    time.sleep(CLIENT_TIME - 0.1)
+    harness.reset(upstream)
+    assert harness.read_status(client) == 504
+
+
+def test_of_two_begun_responses_the_one_that_has_a_part_of_its_body_is_passed_on(
+    make: Callable[..., SidecarHarness], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Both have to be at the end of the client's time, and a head alone promises less."""
+    monkeypatch.setattr(hedging, "INITIAL_DELAY", 0.3)
+    harness = make(objective=0.4, upstreams=2, hedges=True)
+    client, _ = begin(harness, "Transfer-Encoding: chunked", category="look", wait=0.8)
+    other = harness.wait_until(harness.accept_any)[1]
+    harness.read_request(other)
+    send_head(other, "Transfer-Encoding: chunked")
+    other.sendall(chunk(b"hedge"))
+    received = harness.wait_until(lambda: harness.read(client), timeout=2)
+    assert b"hedge" in received + (harness.read(client) or b"")
+    other.sendall(b"0\r\n\r\n")
+    assert harness.wait_until(lambda: harness.read(client)).endswith(b"0\r\n\r\n")
+
+
+def test_a_stop_that_leaves_less_time_has_a_held_response_passed_on_by_then(
+    make: Callable[..., SidecarHarness], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its request would otherwise fail at the time by which a stopped process answers."""
+    monkeypatch.setattr(shutdown, "MAX_STOP_TIMEOUT", 0.2)
+    harness = make(objective=2.0)
+    client, _ = begin(harness, "Connection: close", wait=3.9)
+    harness.run_for(0.1)
+    harness.context.shutdown.post(STOP)
+    stopped_at = time.monotonic()
+    assert harness.wait_until(lambda: harness.read(client)).startswith(b"HTTP/1.1 200")
+    assert 0.5 < time.monotonic() - stopped_at < 0.75
+
+
+def test_a_response_that_breaks_off_before_a_byte_of_it_is_written_is_withdrawn() -> None:
+    """It may break off between the commitment and the turn of its client's connection."""
+
+    class Endpoint:
+        def post(self, message: object) -> None:
+            pass
+
+    pool = BufferPool(16)
+    received = BufferedBody(pool)
+    received.add(b"first")
+    body = BodyStream(pool, Endpoint(), None, received)
+    final = FinalResponse(200, UpstreamResponse(body, b""))
+    assert withdraw_if_broken(final) is final
+    body.abort()
+    withdrawn = withdraw_if_broken(final)
+    assert (withdrawn.status, withdrawn.response, pool.in_use) == (504, None, 0)
+
+
+@pytest.mark.parametrize("head", [*UNKNOWN_LENGTH, f"Content-Length: {LONG}"])
+def test_a_response_that_is_held_back_keeps_no_other_request_from_being_admitted(
+    make: Callable[..., SidecarHarness], head: str
+) -> None:
+    """It may take its client's whole time, and its endpoint has begun to respond."""
+    harness = make()
+    begin(harness, head)
+    stats = harness.context.coordinator.scheduler.balancer.endpoints.by_id["s0"]
+    harness.wait_until(lambda: not stats.in_flight)
+    assert not harness.log_lines("response.begun")
+
+
+@pytest.mark.parametrize("category", CATEGORIES)
+@pytest.mark.parametrize("ending", ["RST_STREAM", "GOAWAY", "reset"])
+@pytest.mark.parametrize("body", [b"", b"x" * 3000])
+def test_over_http_2_a_response_that_breaks_off_while_it_is_held_back_is_answered(
+    make_harness: Callable[..., SidecarHarness], category: str, ending: str, body: bytes
+) -> None:
+    """Whichever way the endpoint ends the stream, the request has run and its client has got nothing."""
+    caps = HTTP2_SETTINGS["caps"] | {"probing": False, "mayDuplicate": False, "mostHandOffs": 1}
+    categories = request_class_settings(int(OBJECTIVE * 1e6))
+    harness = make_harness(settings=HTTP2_SETTINGS | {"caps": caps, "categories": categories})
+    harness.push_snapshot()
+    client = harness.send_request(category, x_expires_in_ms=str(int(1000 * CLIENT_TIME)))
+    upstream = Http2Upstream(harness)
+    (stream,) = upstream.wait_for_requests(1)
+    upstream.http.send_headers(stream, [(":status", "200")])
+    if body:
+        upstream.http.send_data(stream, body)
+    upstream.flush()
+    harness.run_for(1.4 * OBJECTIVE)
+    assert harness.read(client) is None
+    if ending == "RST_STREAM":
+        upstream.http.reset_stream(stream, h2.errors.ErrorCodes.INTERNAL_ERROR)
+    elif ending == "GOAWAY":
+        upstream.http.close_connection(h2.errors.ErrorCodes.INTERNAL_ERROR)
+    upstream.flush()
+    if ending != "RST_STREAM":
+        harness.reset(upstream.sock)
+    assert harness.read_status(client) == FAILED[category]
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -251,7 +251,7 @@
             harness.read_request(upstream)
             send_head(upstream, "Transfer-Encoding: chunked")
         harness.run_for(OBJECTIVE * 0.6)
-    assert len(connections.waiting_responses) == capacity
+    harness.wait_until(lambda: len(connections.waiting_responses) == capacity)
     harness.run_for(2 * OBJECTIVE)
     for _ in range(4):
         harness.send_request("look")
