A response that has begun is not broken off for want of buffers; the longest held gives way

What callers saw: nothing in the field. Cause: room was looked for before waiting for input and not before reading it, so several responses read into the same room; a body that was kept back until it was certain whose it is was copied on, which took its buffers twice; over HTTP/2 nothing looked for room. Change: BodyStream takes what has been read beyond the pool's limit, and whoever reads for it looks for room right before the read (responses and uploads). What was kept back is moved and not copied. While fewer than a quarter of the buffers are left, the response is passed on that has been held back longest (HeldResponses).

--- a/starlingwheel/net/context.py
+++ b/starlingwheel/net/context.py
@@ -30,6 +30,7 @@
 from .state.buffers import BUFFER_SIZE, BufferPool
 from .state.connections import ConnectionTracker
 from .state.executed_ids import ExecutedIds
+from .state.held_responses import HeldResponses
 from .state.overrides import EndpointOverrides
 from .state.requests import Exchange
 from .state.response_variety import ResponseVariety
@@ -123,6 +124,7 @@
         self.loop.after_turn = self.log.flush
         self.passed_socket = environment.get("EDGE_PASSED_SOCKET", "")
         self.buffer_pool = BufferPool(0)
+        self.held_responses = HeldResponses(self.buffer_pool)
         self.connections = ConnectionTracker(config.limits.sockets, bool(config.mgmt))
         self.set_process_count(1)
         overrides_folder = environment.get("TMPDIR") if config.mgmt else None
--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -17,7 +17,7 @@
 from .discovery.messages import LEFT_STATE, DiscoveredEndpoint
 from .http.pool import ConnectionPool
 from .messages import (
-    DEADLINE_MOVED,
+    EXCHANGES_CHANGED,
     WATCH_ENDPOINTS,
     CancelExchange,
     ClientDisconnected,
@@ -129,7 +129,7 @@
         for pending in self.pending_requests.values():
             for exchange in pending.exchanges.values():
                 if exchange.connection is not None:
-                    exchange.connection.post(DEADLINE_MOVED)
+                    exchange.connection.post(EXCHANGES_CHANGED)
 
     def _timer_due(self) -> None:
         if self.restart_at <= self.scheduler.now:
--- a/starlingwheel/net/http/errors.py
+++ b/starlingwheel/net/http/errors.py
@@ -75,7 +75,6 @@
     # Found while the body was being forwarded; answered with 400.
     STREAMED_BODY_TOO_LONG = "(413, 'body too long')"
     NO_BUFFERS = "no-buffers"
-    NO_BUFFERS_FOR_STREAM = ""  # found while the body was being forwarded; answered with 400
     TOO_MANY_REQUESTS = "too many connections"
     REPEATED_HEADER = "is doubled"  # the header's name precedes it in the log
     NO_TRACE_ID = "x-trace-id is missing"
--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -22,7 +22,7 @@
 import h2.settings
 
 from ...decisions.model import AttemptOutcome
-from ...decisions.response_commitment import CommitReason, commit_reason
+from ...decisions.response_commitment import CommitReason
 from ..actor import Coroutine
 from ..loop import READ, WRITE, SocketReady
 from ..messages import (
@@ -162,7 +162,7 @@
             self._read()  # the end of a response may have come before its status has to be given away
         for stream_exchange in [e for e in self.streams.values() if e.next_deadline <= now]:
             if stream_exchange.commit_at <= now:
-                self._begin_relay(stream_exchange, commit_reason(stream_exchange.exchange.body_began_at, now))
+                self._begin_relay(stream_exchange, stream_exchange.exchange.commit_reason(now))
             else:
                 stalled = stream_exchange.relay is not None
                 outcome = AttemptOutcome.RESET if stalled else AttemptOutcome.TIMED_OUT
@@ -304,6 +304,8 @@
         was_relayed = stream_exchange.relay is not None
         if stream_exchange.needs_relay(data):
             self._begin_relay(stream_exchange, CommitReason.LONG)
+        elif stream_exchange.is_held and not self.context.buffer_pool.has_room_for_read():
+            self._begin_relay(stream_exchange, CommitReason.NO_BUFFERS)
         try:
             stream_exchange.add(data, self.loop.now(), self.context.buffer_pool.max_body_size)
         except BuffersExhaustedError:
@@ -317,6 +319,8 @@
             self._relays_changed()
         if stream_exchange.relay is not None and data:
             self._report_stream(stream_exchange, stream_exchange.outcome)
+        if stream_exchange.is_held:
+            self.context.held_responses.note(stream_exchange.exchange)
 
     def _act_on_head(self, stream_exchange: StreamExchange) -> None:
         """Act on the head of a response, the rest of which is still to come."""
@@ -333,6 +337,7 @@
 
     def _begin_relay(self, stream_exchange: StreamExchange, reason: CommitReason) -> None:
         has_data = bool(stream_exchange.body.length)
+        self.context.held_responses.remove(stream_exchange.exchange)
         self.context.note_commitment(stream_exchange.exchange, reason, stream_exchange.body.length)
         response = stream_exchange.begin_relay(self, self.loop.now())
         self.context.connections.note_waiting_response(stream_exchange.exchange, self.loop.now())
@@ -364,6 +369,7 @@
             # When descriptors run short, a connection without an exchange is closed to make room.
             self.context.connections.idle_endpoint_connections[self] = None
         self.context.connections.note_response_progress(stream_exchange.exchange)
+        self.context.held_responses.remove(stream_exchange.exchange)
         stream_exchange.end_relay(is_complete=outcome is AttemptOutcome.SUCCESS)
         self._report_stream(stream_exchange, outcome)
 
--- a/starlingwheel/net/http/http2_stream.py
+++ b/starlingwheel/net/http/http2_stream.py
@@ -64,10 +64,15 @@
         """Whether the response may be passed on while it arrives."""
         return bool(self.status) and may_pass_on(self.exchange, self.status, self.length)
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the status of the response is held back, though it may be passed on."""
+        return self.awaits_rest and self.may_pass_on
+
     @property
     def commit_at(self) -> float:
         """The time at which the response is passed on though it is not complete."""
-        return self.exchange.commit_at if self.awaits_rest and self.may_pass_on else inf
+        return self.exchange.commit_at if self.is_held else inf
 
     @property
     def next_deadline(self) -> float:
@@ -109,7 +114,7 @@
     def needs_relay(self, data: bytes) -> bool:
         """Return whether the body is too long to be buffered, now that `data` has come."""
         is_long = self.body.length + len(data) > MAX_BUFFERED_BODY
-        return self.awaits_rest and self.may_pass_on and is_long
+        return self.is_held and is_long
 
     def add(self, data: bytes, now: float, max_body_size: int) -> None:
         """Add data of the body. Raises `BuffersExhaustedError`, also for a body that is too long."""
--- a/starlingwheel/net/http/upload_relay.py
+++ b/starlingwheel/net/http/upload_relay.py
@@ -10,7 +10,6 @@
 from ..messages import FinalResponse, RequestBodyComplete
 from ..state.body_arrival import EMPTY_TIME, BodyArrival
 from ..state.body_stream import BodyStream
-from ..state.buffers import BuffersExhaustedError
 from .errors import CloseReason, ConnectionLostError, InvalidRequestError, InvalidRequestReason
 from .request_progress import RequestProgress
 from .stream import Event, Stream
@@ -87,7 +86,7 @@
             if isinstance(event, h11.Data):
                 self.progress.count_body(event.data)
                 self.body.add(event.data)
-        except (ConnectionLostError, InvalidRequestError, BuffersExhaustedError) as error:
+        except (ConnectionLostError, InvalidRequestError) as error:
             raise InvalidRequestError(400, _error_reason(error)) from error
         return event
 
@@ -95,7 +94,7 @@
         if ready.hung_up:
             # Data that a client wrote before it disconnected is not forwarded.
             raise ConnectionLostError(CloseReason.CLIENT_LEFT)
-        if self.stream.read():
+        if self.body.has_room() and self.stream.read():
             self.progress.last_read_at = self.loop.now()
 
     def _update_earliest_arrival(self) -> None:
@@ -126,9 +125,6 @@
 
 def _error_reason(error: Exception) -> InvalidRequestReason:
     """Return the reason for the error in a request whose body was already being forwarded."""
-    match error:
-        case ConnectionLostError():
-            return InvalidRequestReason(error.reason.value)
-        case BuffersExhaustedError():
-            return InvalidRequestReason.NO_BUFFERS_FOR_STREAM
+    if isinstance(error, ConnectionLostError):
+        return InvalidRequestReason(error.reason.value)
     return InvalidRequestReason.STREAMED_BODY_TOO_LONG
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -14,7 +14,7 @@
 import h11
 
 from ...decisions.model import AttemptOutcome
-from ...decisions.response_commitment import CommitReason, commit_reason
+from ...decisions.response_commitment import CommitReason
 from ..loop import READ, SocketReady
 from ..messages import CancelExchange, EndStalledResponse
 from ..state.body_stream import MAX_STREAMED_BODY, BodyStream
@@ -124,6 +124,7 @@
                 elif event is h11.NEED_DATA:
                     yield from self._receive()
         finally:
+            self.context.held_responses.remove(self.exchange)
             if self.relay is not None:
                 self.relay.abort()
                 self.context.connections.note_response_progress(self.exchange)
@@ -183,14 +184,18 @@
             self._pass_on_body(self.relay)
             self.relay.add(data)
             self._report_result()
-        elif self.relay is not None or not self.is_result_known:
+        elif self.relay is not None:
+            self.body.add(data, beyond_limit=True)
+        elif not self.is_result_known:
             self.body.add(data)
+            if self._may_pass_on():
+                self.context.held_responses.note(self.exchange)
 
     def _pass_on_body(self, relay: BodyStream) -> None:
-        """Add to the relay what was kept back of the body."""
-        for view in self.body.views():
-            relay.add(bytes(view))
-        self.body.release()
+        """Move to the relay what was kept back of the body."""
+        if self.body.length:
+            received, self.body = self.body, BufferedBody(self.context.buffer_pool)
+            relay.adopt(received)
 
     def _is_attributed(self) -> bool:
         """Return whether the response belongs to the request for certain.
@@ -220,6 +225,7 @@
         It is the final one, which from now on only the endpoint or the client can end. The head tells nothing
         that belongs to another client; the body is passed on once it is certain whose it is.
         """
+        self.context.held_responses.remove(self.exchange)
         received = BufferedBody(self.context.buffer_pool)
         if self._is_attributed():
             received, self.body = self.body, received
@@ -266,6 +272,10 @@
             yield from self._receive_for_relay(self.relay)
             return
         commit_at = self.exchange.commit_at if self._may_pass_on() else inf
+        has_room = self.context.buffer_pool.has_room_for_read()
+        if commit_at < inf and not has_room:
+            self._begin_relay(CommitReason.NO_BUFFERS)
+            return
         if self.context.loop.now() >= commit_at:
             self._read_or_commit()
             return
@@ -279,7 +289,7 @@
             self.has_read_before_commit = True
             self.stream.read()
         else:
-            self._begin_relay(commit_reason(self.exchange.body_began_at, self.context.loop.now()))
+            self._begin_relay(self.exchange.commit_reason(self.context.loop.now()))
 
     def _check_readable(self) -> None:
         """Raise `ConnectionLostError` for input that is not HTTP, or no chunk of the body.
@@ -310,5 +320,5 @@
             raise ConnectionLostError(CloseReason.RELAY_STALLED)
         if message is None and self.stream.loop.now() >= deadline:
             raise ConnectionLostError(CloseReason.RELAY_STALLED)
-        if isinstance(message, SocketReady):
+        if isinstance(message, SocketReady) and relay.has_room():
             self.stream.read()
--- a/starlingwheel/net/messages.py
+++ b/starlingwheel/net/messages.py
@@ -118,8 +118,8 @@
     exchange: Exchange
 
 
-class DeadlineMoved:
-    """To a connection to an endpoint: its exchanges have to end earlier, as the process has been stopped."""
+class ExchangesChanged:
+    """To a connection to an endpoint: a time by which something is due has moved in one of its exchanges."""
 
 
 @dataclass(slots=True, eq=False)
@@ -209,4 +209,4 @@
 STOP = Stop()
 CLOSE = Close()
 DRAIN = Drain()
-DEADLINE_MOVED = DeadlineMoved()
+EXCHANGES_CHANGED = ExchangesChanged()
--- a/starlingwheel/net/state/body_stream.py
+++ b/starlingwheel/net/state/body_stream.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from .buffers import BUFFER_SIZE, BufferedBody, BufferPool
+from .buffers import BufferedBody, BufferPool
 
 STREAM_WINDOW = 1 << 17  # bytes between source and sink, plus at most one read
 MAX_STREAMED_BODY = 1 << 25  # bytes of a body that is forwarded while it arrives
@@ -77,13 +77,26 @@
 
     def has_room(self) -> bool:
         """Return whether another read may be added."""
-        return not self.is_full and self.pool.available * BUFFER_SIZE > len(self.pool.scratch)
+        return not self.is_full and self.pool.has_room_for_read()
 
     def add(self, data: bytes | bytearray) -> None:
-        """Append bytes. Raises `BuffersExhaustedError`."""
+        """Append bytes that have been read.
+
+        A body that is being forwarded is not broken off for want of buffers. Whoever adds to it looks for
+        room before each read, so that at most one read goes beyond the limit of the pool.
+        """
         self.total += len(data)
         if not self.cancelled:
-            self.buffered.add(data)
+            self.buffered.add(data, beyond_limit=True)
+        self._notify_sink()
+
+    def adopt(self, received: BufferedBody) -> None:
+        """Take over the first bytes of the body, with their buffers."""
+        self.total = received.length
+        if self.cancelled:
+            received.release()
+        else:
+            self.buffered = received
         self._notify_sink()
 
     def end(self) -> None:
--- a/starlingwheel/net/state/buffers.py
+++ b/starlingwheel/net/state/buffers.py
@@ -6,6 +6,7 @@
 MAX_BUFFERED_BODY = 65536  # bytes up to which a body is buffered until it is complete
 MAX_REQUEST_BODY = MAX_BUFFERED_BODY  # bytes of a request body that can't be forwarded while it arrives
 MAX_BODY_SHARE = 1 / 16  # part of all buffers that one body may take
+SHORT_SHARE = 1 / 4  # part of all buffers; while fewer are left, buffers are short
 
 
 class BuffersExhaustedError(Exception):
@@ -30,11 +31,11 @@
         body_buffers = int(max_buffers * MAX_BODY_SHARE)
         self.max_body_size = max(MAX_BUFFERED_BODY, body_buffers * BUFFER_SIZE)  # bytes
 
-    def acquire(self) -> bytearray:
-        """Return a buffer; raises `BuffersExhaustedError` if all are in use."""
+    def acquire(self, beyond_limit: bool = False) -> bytearray:
+        """Return a buffer; raises `BuffersExhaustedError` if all are in use, unless `beyond_limit` is set."""
         if self.free:
             return self.free.pop()
-        if self.allocated >= self.max_buffers:
+        if self.allocated >= self.max_buffers and not beyond_limit:
             raise BuffersExhaustedError
         self.allocated += 1
         return bytearray(BUFFER_SIZE)
@@ -56,6 +57,15 @@
         """The number of buffers that may still be handed out."""
         return self.max_buffers - self.in_use
 
+    def has_room_for_read(self) -> bool:
+        """Return whether what one read may bring can be stored."""
+        return self.available * BUFFER_SIZE > len(self.scratch)
+
+    @property
+    def is_short(self) -> bool:
+        """Whether few buffers are left."""
+        return self.available < SHORT_SHARE * self.max_buffers
+
 
 class BufferedBody:
     """The body of one message; whoever uses it last returns its buffers by `release`."""
@@ -68,13 +78,16 @@
         self.buffers: list[bytearray] = []
         self.length = 0  # bytes
 
-    def add(self, data: bytes | bytearray) -> None:
-        """Append a copy of the bytes; raises `BuffersExhaustedError` after appending only a part of them."""
+    def add(self, data: bytes | bytearray, beyond_limit: bool = False) -> None:
+        """Append a copy of the bytes.
+
+        Raises `BuffersExhaustedError` after appending only a part of them, unless `beyond_limit` is set.
+        """
         remaining = memoryview(data)
         while remaining:
             start = self.length % BUFFER_SIZE
             if start == 0:
-                self.buffers.append(self.pool.acquire())
+                self.buffers.append(self.pool.acquire(beyond_limit))
             part = remaining[: BUFFER_SIZE - start]
             self.buffers[-1][start : start + len(part)] = part
             self.length += len(part)
--- a/starlingwheel/net/state/requests.py
+++ b/starlingwheel/net/state/requests.py
@@ -8,7 +8,7 @@
 
 from ...decisions.config import RetrySafety
 from ...decisions.model import Attempt, Request
-from ...decisions.response_commitment import commit_time
+from ...decisions.response_commitment import CommitReason, commit_reason, commit_time
 from .body_stream import BodyStream
 from .buffers import BufferedBody
 
@@ -72,6 +72,7 @@
     # Whether the head of a successful response has come; the exchange then has the time of its client.
     head_received: bool = False
     body_began_at: float | None = None  # when the first byte of its response's body came
+    must_commit: bool = False  # its response has to be passed on now, as others need its buffers
     admitted_at: float = 0.0  # when the gate admitted it; 0: not yet, or its first byte has been written
 
     @property
@@ -88,7 +89,13 @@
     @property
     def commit_at(self) -> float:
         """The time at which its response is passed on though it is not complete, if it may be."""
-        return inf if self.pending is None else commit_time(self.pending.request, self.body_began_at)
+        if self.pending is None:
+            return inf
+        return -inf if self.must_commit else commit_time(self.pending.request, self.body_began_at)
+
+    def commit_reason(self, now: float) -> CommitReason:
+        """Return why its response is passed on at `commit_at`."""
+        return CommitReason.NO_BUFFERS if self.must_commit else commit_reason(self.body_began_at, now)
 
     @property
     def body_stream(self) -> BodyStream | None:
--- a/tests/test_early_status.py
+++ b/tests/test_early_status.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from math import inf
@@ -16,7 +17,7 @@
 from fakes.client_connection import ReceivedResponse, send_request
 from fakes.delivery import Delivery, Ending, Framing
 from fakes.http1 import Handler, Request, Response
-from trials.single import SingleSidecar, request_class
+from trials.single import Json, SingleSidecar, request_class
 from trials.soak.judge import body_for
 from trials.soak.plan import METHODS
 
@@ -31,6 +32,8 @@
 SOON = 0.003  # seconds between a head and the end of its connection
 SHORT, LONG = 1500, 150_000  # bytes of a body
 SERVERS = 6
+HELD_AT_ONCE = 150  # responses, most of which are under way together
+FEW_BUFFERS_MB = 6  # a third of it is 256 buffers; 150 responses of 64 KiB take 1,200
 
 
 @dataclass
@@ -113,13 +116,14 @@
 
 def play(
     scenario: Callable[[SingleSidecar, Play], Awaitable[None]],
+    classes: list[Json] = CLASSES,
     **options: Any,  # noqa: ANN401
 ) -> Play:
     """Play a scenario with one sidecar; return what was seen, of which nothing may be broken."""
     seen = Play()
 
     async def run() -> None:
-        async with SingleSidecar(seen.handler_for, SERVERS, CLASSES, **options) as sidecar:
+        async with SingleSidecar(seen.handler_for, SERVERS, classes, **options) as sidecar:
             await scenario(sidecar, seen)
             assert not sidecar.defects()
 
@@ -197,3 +201,29 @@
         if scene.category == "pay" and scene.received.ended_at > (scene.delivery.ended_at or inf) + 0.1
     ]
     assert not late, late
+
+
+@pytest.mark.xdist_group("trials-1")
+def test_sound_responses_are_served_though_all_that_is_held_back_would_not_fit_into_the_buffers() -> None:
+    """The one that has been held back longest is passed on; none fails or is cut off for want of buffers."""
+    rng = random.Random(78)
+    scenes = []
+    for number in range(HELD_AT_ONCE):
+        framing = rng.choice([Framing.CHUNKED, Framing.CLOSE])
+        delivery = Delivery(framing, body_delay=0.02, rate=rng.choice([40_000.0, 60_000.0]))
+        category = list(METHODS)[number % 3]
+        length = rng.choice([60_000, 64_000, 90_000])
+        scenes.append(Scene(f"{category}-{number}", category, delivery, 0.005, length, timeout=3.0))
+
+    async def scenario(sidecar: SingleSidecar, seen: Play) -> None:
+        tasks = []
+        for scene in scenes:
+            tasks.append(asyncio.create_task(seen.ask(sidecar.address, scene)))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+
+    patient = [entry | {"expiry": 3_000_000} for entry in CLASSES]
+    seen = play(scenario, patient, limits={"memory_mb": FEW_BUFFERS_MB, "sockets": 1024})
+    accepted = [scene for scene in seen.scenes.values() if scene.runs]
+    failed = [scene.trace for scene in accepted if not scene.is_served]
+    assert len(accepted) > HELD_AT_ONCE / 2 and not failed, (len(accepted), failed)
--- a/tests/test_held_responses.py
+++ b/tests/test_held_responses.py
@@ -29,10 +29,12 @@
 def make(make_harness: Callable[..., SidecarHarness]) -> Callable[..., SidecarHarness]:
     """Return a function that makes a harness whose classes have an objective in seconds."""
 
-    def make(objective: float = OBJECTIVE, upstreams: int = 1, hedges: bool = False) -> SidecarHarness:
+    def make(
+        objective: float = OBJECTIVE, upstreams: int = 1, hedges: bool = False, memory_mb: int = 192
+    ) -> SidecarHarness:
         caps = SETTINGS["caps"] | {"probing": False, "mayDuplicate": hedges}
-        categories = request_class_settings(int(objective * 1e6))
-        return make_harness(upstreams=upstreams, settings={"categories": categories, "caps": caps})
+        settings = {"categories": request_class_settings(int(objective * 1e6)), "caps": caps}
+        return make_harness(upstreams=upstreams, settings=settings, limits={"memory_mb": memory_mb})
 
     return make
 
@@ -232,3 +234,49 @@
     if ending != "RST_STREAM":
         harness.reset(upstream.sock)
     assert harness.read_status(client) == FAILED[category]
+
+
+def test_the_response_that_has_been_held_back_longest_is_passed_on_when_buffers_get_short(
+    make: Callable[..., SidecarHarness],
+) -> None:
+    """Its client takes its bytes; the others are held back as before, and none is broken off."""
+    harness = make(objective=2.0, memory_mb=3)
+    pool = harness.context.buffer_pool
+    body = b"x" * 50_000
+    clients = []
+    while not harness.log_lines("response.begun"):
+        assert len(clients) < pool.max_buffers
+        clients.append(begin(harness, "Transfer-Encoding: chunked", body, wait=3.9))
+        harness.run_for(0.02)
+    assert harness.log_lines("response.begun")[0]["why"] == "no-buffers"
+    assert len(clients) > 2
+    received, first = b"", clients[0][0]
+    while received.count(b"x") < len(body):
+        received += harness.wait_until(lambda: harness.read(first))
+    assert [harness.read(client) for client, _ in clients[1:]] == [None] * (len(clients) - 1)
+    for client, upstream in clients:
+        upstream.sendall(b"0\r\n\r\n")
+        if client is not first:
+            assert harness.read_message(client)[1] == body
+    assert pool.in_use == 0
+
+
+def test_a_response_that_has_been_passed_on_is_not_broken_off_for_want_of_buffers(
+    make: Callable[..., SidecarHarness],
+) -> None:
+    """Its endpoint's input stays in the kernel while there is no room for a read."""
+    harness = make(objective=2.0, memory_mb=1)
+    client, upstream = begin(harness, "Connection: close", b"x" * 70_000, wait=3.9)
+    assert harness.wait_until(lambda: harness.read(client)).startswith(b"HTTP/1.1 200")
+    pool = harness.context.buffer_pool
+    taken = [pool.acquire() for _ in range(pool.available)]
+    upstream.sendall(b"y" * 200_000)
+    harness.run_for(0.2)
+    assert not harness.log_lines("upstream.end") and pool.available > -10
+    for buffer in taken:
+        pool.release(buffer)
+    upstream.close()
+    received = b""
+    while not received.endswith(b"0\r\n\r\n"):
+        received += harness.wait_until(lambda: harness.read(client))
+    assert received.count(b"y") == 200_000
