The reset after an incomplete response leaves an earlier response on its connection to the client

A client that sends several requests on one connection and reads late got 32,730 of 60,000 bytes of its first response when the second one broke off. Cause: the connection was reset at once, and a reset discards what the client's system has not taken yet, also of the response before. Change: the reset waits until all that was written has been taken (SIOCOUTQ), for 4 s at most or until the client hangs up. Where nothing waits it comes at once, as before.

--- a/starlingwheel/net/http/response_writer.py
+++ b/starlingwheel/net/http/response_writer.py
@@ -20,6 +20,7 @@
 
 GATEWAY_TIMEOUT = 504
 WRITE_STALL_TIMEOUT = 4.0  # seconds without progress after which the connection of a slow reader is closed
+UNSENT_POLL_INTERVAL = 0.005  # seconds between looks at what the client's system has not taken
 
 
 def response_headers(final: FinalResponse | None, close: bool) -> Headers:
@@ -88,9 +89,7 @@
                 finally:
                     part.release()
             elif body.aborted:
-                # The client must be able to tell that the response is incomplete.
-                self.stream.reset_on_close()
-                raise ConnectionLostError(CloseReason.UPSTREAM_BROKE)
+                yield from self._break_off()
             else:
                 yield from self._flush()  # a head may come long before its body
                 if body.sink_notified:
@@ -99,6 +98,21 @@
                 if isinstance(message := (yield None), SocketReady) and message.hung_up:
                     raise ConnectionLostError(CloseReason.CLIENT_LEFT)
 
+    def _break_off(self) -> Coroutine[None]:
+        """End the connection by a reset, by which the client can tell that the response is incomplete.
+
+        A reset discards what the client's system has not taken yet, and that may be the end of an earlier
+        response, so it comes after that. Raises `ConnectionLostError`.
+        """
+        until = self.loop.now() + WRITE_STALL_TIMEOUT
+        self.stream.wait_for(HANGUP)
+        while self.stream.unsent_bytes() and self.loop.now() < until:
+            message = yield self.loop.now() + UNSENT_POLL_INTERVAL
+            if isinstance(message, SocketReady) and message.hung_up:
+                break
+        self.stream.reset_on_close()
+        raise ConnectionLostError(CloseReason.UPSTREAM_BROKE)
+
     def _flush(self) -> Coroutine[None]:
         until = self.loop.now() + WRITE_STALL_TIMEOUT
         while not self.stream.write():
--- a/starlingwheel/net/http/stream.py
+++ b/starlingwheel/net/http/stream.py
@@ -188,6 +188,13 @@
         count = fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, bytes(4))
         return int.from_bytes(count, sys.byteorder)
 
+    def unsent_bytes(self) -> int:
+        """Return how many written bytes the peer's system has not acknowledged; 0 if that can't be told."""
+        with contextlib.suppress(OSError):
+            count = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(4))
+            return int.from_bytes(count, sys.byteorder)
+        return 0
+
     def has_no_input(self) -> bool:
         """Return whether no input is unread, including the end of the connection."""
         return self._peek() is None
--- a/tests/test_held_responses.py
+++ b/tests/test_held_responses.py
@@ -280,3 +280,28 @@
     while not received.endswith(b"0\r\n\r\n"):
         received += harness.wait_until(lambda: harness.read(client))
     assert received.count(b"y") == 200_000
+
+
+def test_the_reset_that_tells_a_response_incomplete_leaves_the_one_before_it_to_its_client(
+    make: Callable[..., SidecarHarness],
+) -> None:
+    """Both are on one connection, and the client reads late."""
+    harness = make()
+    client = harness.connect_client()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    requests = [harness.request_bytes("look", x_expires_in_ms=str(int(1000 * CLIENT_TIME))) for _ in range(2)]
+    client.sendall(b"".join(requests))
+    body = b"1" * 60_000
+    harness.serve(body=body, extra="Connection: close\r\n")
+    upstream = harness.accept()
+    harness.read_request(upstream)
+    send_head(upstream, "Transfer-Encoding: chunked")
+    harness.wait_until(lambda: harness.log_lines("response.begun"))
+    harness.run_for(0.05)
+    harness.reset(upstream)
+    harness.run_for(0.1)
+    received = b""
+    while (data := harness.wait_until(lambda: harness.read(client))) != b"end":
+        received += data
+    assert received.count(b"1") >= len(body)
+    assert not received.endswith(b"0\r\n\r\n")
