In a fleet a response that its client does not get ends its exchange

Cause: where another member has taken the request over, the client gets that member's response and nobody releases this one: its stream fills up, and its connection and up to 128 KiB of buffers stay until the endpoint ends. Change: the coordinator releases the response in that case, which cancels the exchange.

--- a/starlingwheel/net/fleet/coordinator.py
+++ b/starlingwheel/net/fleet/coordinator.py
@@ -371,6 +371,8 @@
         response = self.replicator.finish_request(request, recorded)
         if response is None:
             pending.awaits_response = False
+            if final.response is not None:
+                final.response.body.release()
             if pending.client is not DISCONNECTED_CLIENT:
                 self.replicator.wait_on(request, pending, until)
                 self.replicated[pending.request] = request
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -43,6 +43,7 @@
 from starlingwheel.net.fleet.messages import EvictMember
 from starlingwheel.net.lifecycle.shutdown import KILL_DELAY, MAX_STOP_TIMEOUT
 from starlingwheel.net.messages import STOP
+from starlingwheel.net.state.buffers import MAX_BUFFERED_BODY
 from trials.emulated import World
 
 T = TypeVar("T")
@@ -624,6 +625,22 @@
     assert connection.pending is request.dispatched_client
 
 
+def test_a_response_that_its_client_does_not_get_is_not_received_on(
+    member: SidecarHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Another member has taken the request over; nobody would ever read what the endpoint sends."""
+    member.wait_until(lambda: joined(member))
+    coordinator = member.context.coordinator
+    monkeypatch.setattr(coordinator.replicator, "finish_request", lambda request, response: None)
+    member.send_request("buy", b"one", x_work_name="w1")
+    upstream = member.accept()
+    member.read_request(upstream)
+    length = MAX_BUFFERED_BODY + 1
+    upstream.sendall(b"HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n" % (2 * length) + b"x" * length)
+    assert member.wait_until(lambda: member.read(upstream)) == b"end"
+    assert member.context.buffer_pool.in_use == 0
+
+
 @pytest.mark.parametrize("headers", [{}, {"x_work_name": "w1"}])
 def test_a_client_that_disconnects_is_counted_and_causes_no_error(
     member: SidecarHarness, headers: dict[str, str]
