Silent clients that were given time for their first request are closed once it is over

What callers saw: nothing. Change: the listener makes room again when the oldest silent client's time is over; clients that were told to close count no longer, so that none is told twice for one place.

--- a/starlingwheel/net/http/listener.py
+++ b/starlingwheel/net/http/listener.py
@@ -35,7 +35,9 @@
         message = yield None
         while not isinstance(message, Stop):
             if self._accept_waiting():
-                message = yield None
+                message = yield self.context.connections.room_due_at(FIRST_REQUEST_GRACE)
+                if message is None:
+                    self._make_room()
             else:
                 # While descriptors are used up, waiting avoids a busy loop until a connection has ended.
                 self.loop.unregister(self.sock.fileno())
--- a/starlingwheel/net/state/connections.py
+++ b/starlingwheel/net/state/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Any
 
 from .requests import Exchange
@@ -33,6 +34,7 @@
         self.partial_requests: dict[Any, None] = {}
         self.idle_clients: dict[Any, None] = {}  # clients between requests, the longest idle first
         self.answered_clients: dict[Any, None] = {}  # clients that have received their last response
+        self.closing_clients: dict[Any, None] = {}  # clients that were told to close to make room
         # Exchanges whose responses have begun for their clients and wait for more, the longest waiting first.
         # With the time at which their last byte came.
         self.waiting_responses: dict[Exchange, float] = {}
@@ -93,6 +95,7 @@
         for expendable in (self.answered_clients, *silent, self.idle_clients, self.partial_requests):
             for client in expendable:
                 del expendable[client]
+                self.closing_clients[client] = None
                 return client
         return None
 
@@ -120,8 +123,14 @@
         return None
 
     def is_short_of_clients(self) -> bool:
-        """Return whether room has to be made for another client."""
-        return len(self.clients) >= self.client_limit
+        """Return whether room has to be made for another client, beside those that are closing."""
+        return len(self.clients) - len(self.closing_clients) >= self.client_limit
+
+    def room_due_at(self, grace: float) -> float:
+        """Return when a client that takes the room of others will have been silent for `grace` seconds."""
+        oldest = next(iter(self.silent_clients), None)
+        is_over = len(self.clients) - len(self.closing_clients) > self.client_limit
+        return oldest.opened_at + grace if is_over and oldest is not None else inf
 
     def record_request_part(self, client: object) -> None:
         """Record that another part of a client's first request has arrived."""
@@ -142,6 +151,7 @@
             self.partial_requests,
             self.idle_clients,
             self.answered_clients,
+            self.closing_clients,
         ):
             group.pop(client, None)
 
