A client that stops in the middle of a long body is answered 408 within 2.4 s

Cause: the time for a request grows by a second for each 48 kB received, for bodies that come slowly; one that has come fast kept that credit after it had stopped. Change: a body that has begun may stop for 2.4 s, counted anew when the sidecar itself did not read for want of buffers.

--- a/starlingwheel/net/http/request_progress.py
+++ b/starlingwheel/net/http/request_progress.py
@@ -19,6 +19,8 @@
 # Multiple of the idle timeout within which a request without a body has to be complete. The time counts from
 # the connect for the first request on a connection, and from the first byte for each later one.
 REQUEST_TIMEOUT_FACTOR = 1.35
+# Multiple of the idle timeout for which a body may stop: its client is owed an error or a close within 3 s.
+BODY_STALL_FACTOR = 1.2
 MIN_UPLOAD_RATE = 48_000  # bytes per second: body bytes received extend the time for the request at this rate
 
 
@@ -31,6 +33,7 @@
         "idle_since",
         "started_at",
         "last_read_at",
+        "awaited_since",
         "incomplete_at",
         "body_received",
         "paused_time",
@@ -43,6 +46,7 @@
         self.opened_at = self.idle_since = context.loop.now()
         self.started_at: float | None = None  # when the first byte of the current request was read
         self.last_read_at = self.opened_at
+        self.awaited_since = self.opened_at  # when input last came, or began to be awaited again
         self.incomplete_at = self.opened_at  # when the latest input arrived; the request was incomplete then
         self.body_received = 0  # bytes of the current request's body
         self.paused_time = 0.0  # seconds for which that body was not read because buffers were short
@@ -59,7 +63,7 @@
 
     def note_read(self, arrived_at: float | None) -> None:
         """Record that bytes were read that had arrived at that time; None: it is not known."""
-        self.last_read_at = self.context.loop.now()
+        self.last_read_at = self.awaited_since = self.context.loop.now()
         self.incomplete_at = arrived_at or self.incomplete_at
         if self.started_at is None:
             self.started_at = self.last_read_at
@@ -81,4 +85,7 @@
             return self.idle_since + IDLE_CLOSE_FACTOR * IDLE_TIMEOUT
         since = self.opened_at if self.is_first else self.started_at
         deadline = since + REQUEST_TIMEOUT_FACTOR * IDLE_TIMEOUT
-        return deadline + self.paused_time + self.body_received / MIN_UPLOAD_RATE
+        deadline += self.paused_time + self.body_received / MIN_UPLOAD_RATE
+        if self.body_received:
+            deadline = min(deadline, self.awaited_since + BODY_STALL_FACTOR * IDLE_TIMEOUT)
+        return deadline
--- a/starlingwheel/net/http/upload_relay.py
+++ b/starlingwheel/net/http/upload_relay.py
@@ -95,7 +95,7 @@
             # Data that a client wrote before it disconnected is not forwarded.
             raise ConnectionLostError(CloseReason.CLIENT_LEFT)
         if self.body.has_room() and self.stream.read():
-            self.progress.last_read_at = self.loop.now()
+            self.progress.last_read_at = self.progress.awaited_since = self.loop.now()
 
     def _update_earliest_arrival(self) -> None:
         """Postpone the request's deadline as far as its last byte is known not to have been sent yet."""
@@ -114,6 +114,7 @@
             self.stream.wait_for(HANGUP)
             message = yield None if self.body.is_full else since + self.context.shortest_objective / 64
             self.progress.paused_time += self.loop.now() - since
+            self.progress.awaited_since = self.loop.now()
             if isinstance(message, FinalResponse | SocketReady):
                 return message
         self.stream.wait_for(READ)
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 import socket
+import time
 from collections.abc import Callable
 
 import pytest
@@ -465,6 +466,18 @@
     assert harness.read_status(client) == 200
 
 
+@pytest.mark.parametrize("sent", [30_000, 150_000])
+def test_a_body_that_stops_after_much_of_it_gets_408_within_three_seconds(
+    harness: SidecarHarness, sent: int
+) -> None:
+    """However much has come: the time for it was 2.7 s and a second for each 48 kB."""
+    client = begin_upload(harness, random_bytes(200_000))
+    client.sendall(bytes(sent))
+    stopped_at = time.monotonic()
+    assert harness.read_status(client) == 408
+    assert 2.0 < time.monotonic() - stopped_at < 3.0
+
+
 def test_a_slow_steady_body_is_accepted_and_a_stalled_one_gets_408(harness: SidecarHarness) -> None:
     """The steady body arrives at 32 kB/s."""
     body = random_bytes(100000)
