--- a/trials/soak/judge.py
+++ b/trials/soak/judge.py
@@ -207,6 +207,8 @@
     ) -> Iterator[str]:
         """Count what the sidecar could not help; everything else is a violation."""
         excuses = [self._excuse(record, run, run.ended_at) for run in runs if run.is_incomplete]
+        if len(response.body) > LONG_BODY and excuses:
+            excuses.append(Excuse.LONG)
         excuse = next((excuse for excuse in excuses if excuse is not None), None)
         if excuse is not None:
             self.counts[excuse.value] += 1
