--- a/starlingwheel/net/context.py
+++ b/starlingwheel/net/context.py
@@ -137,7 +137,6 @@
         self.active_traces: set[bytes] = set()  # trace ids of the requests that clients wait for
         self.resets_expected_until = -inf  # until then connections to endpoints may be reset at any time
         self.commitments: Counter[CommitReason] = Counter()  # responses passed on before they were complete
-        self.broken_responses = 0  # of those, the ones that their endpoints broke off
         self.unsolicited_responses_until = -inf  # until then unsolicited responses may arrive at any time
         self.response_variety = ResponseVariety()
         self.stopping = False
--- a/starlingwheel/net/http/client_connection.py
+++ b/starlingwheel/net/http/client_connection.py
@@ -350,6 +350,6 @@
         self.stream.close()
         self.context.connections.remove_client(self)
         reason = self.reason or CloseReason.DEFECT
-        self.context.broken_responses += reason is CloseReason.UPSTREAM_BROKE
+        self.context.connections.client_ends[reason.value] += 1
         details = {"trace": self.open_trace.decode("latin-1")} if self.open_trace else {}
         self.context.log("client.end", reason=reason, served=self.response_count, **details)
--- a/starlingwheel/net/http/pool.py
+++ b/starlingwheel/net/http/pool.py
@@ -89,7 +89,8 @@
                 connections.remove(connection)
 
     def log_closed(self, reason: CloseReason, exchange_count: int, details: dict[str, Any]) -> None:
-        """Log the end of a connection; `details` are further fields, on what was in progress."""
+        """Count and log the end of a connection; `details` are further fields, on what was in progress."""
+        self.context.connections.endpoint_ends[reason.value] += 1
         self.context.log(
             "upstream.end", reason=reason, upstream=self.endpoint.id, carried=exchange_count, **details
         )
--- a/starlingwheel/net/lifecycle/stats.py
+++ b/starlingwheel/net/lifecycle/stats.py
@@ -47,6 +47,7 @@
                 gate_violations=context.gate.violations,
                 written_late=context.gate.late_writes,
                 begun={reason.value: count for reason, count in context.commitments.items()},
-                broken_off=context.broken_responses,
+                client_ends=dict(context.connections.client_ends),
+                upstream_ends=dict(context.connections.endpoint_ends),
             )
             self.loop.max_timer_delay = context.coordinator.slowest_turn = 0.0
--- a/starlingwheel/net/state/connections.py
+++ b/starlingwheel/net/state/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from math import inf
 from typing import Any
 
@@ -38,6 +39,9 @@
         # Exchanges whose responses have begun for their clients and wait for more, the longest waiting first.
         # With the time at which their last byte came.
         self.waiting_responses: dict[Exchange, float] = {}
+        # Connections that have ended, by the reason in their log line.
+        self.client_ends: Counter[str] = Counter()
+        self.endpoint_ends: Counter[str] = Counter()
         self.peak = 0  # the highest number of connections at a time so far
 
     def set_limit(self, max_descriptors: int, processes: int = 1) -> None:
--- a/tests/test_held_responses.py
+++ b/tests/test_held_responses.py
@@ -305,3 +305,15 @@
         received += data
     assert received.count(b"1") >= len(body)
     assert not received.endswith(b"0\r\n\r\n")
+
+
+def test_ended_connections_are_counted_by_reason(make: Callable[..., SidecarHarness]) -> None:
+    """What was closed for lack of proof, or broke off for a client, shows without searching the log."""
+    harness = make()
+    client, upstream = begin(harness, "Transfer-Encoding: chunked", b"first")
+    upstream.sendall(b"noise")
+    assert harness.read_status(client) == 504
+    client.close()
+    harness.wait_until(lambda: harness.log_lines("client.end"))
+    connections = harness.context.connections
+    assert (connections.client_ends, connections.endpoint_ends) == ({"client-closed": 1}, {"malformed": 1})
