An HTTP/2 connection handles a bounded number of frames in a turn; http2.py is split

An endpoint that sends in frames of one byte had 6,553 of them handled in one turn, while everybody else waited. Cause: a read of 64 KiB was parsed and handled at once.

--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -34,16 +34,17 @@
     ResponseStarted,
     StartExchange,
 )
-from ..state.body_stream import BodyStream, BodyStreamChanged
-from ..state.buffers import BufferedBody, BuffersExhaustedError
-from ..state.requests import Exchange, PendingRequest, UpstreamResponse
+from ..state.body_stream import BodyStreamChanged
+from ..state.buffers import BuffersExhaustedError
+from ..state.requests import Exchange, UpstreamResponse
 from .endpoint_connection import EndpointConnection
 from .errors import CloseReason, ConnectionLostError
-from .http2_preface import PrefaceCheck
+from .http2_input import FrameInput
+from .http2_request import open_stream
 from .http2_stream import StreamExchange
 from .load_report import extract_load_report
+from .stream import MAX_EVENTS_PER_TURN
 from .timing import connect_deadline, idle_deadline
-from .upstream_request import build_request
 from .upstream_response import ExchangeResult
 
 if TYPE_CHECKING:
@@ -63,7 +64,7 @@
         self.streams: dict[int, StreamExchange] = {}
         self.connected = self.closing = False
         self.http = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding=None))
-        self.preface = PrefaceCheck()
+        self.input = FrameInput(self.http)
         super().__init__(context, pool)
 
     def has_capacity(self) -> bool:
@@ -126,10 +127,11 @@
         if self.closing and not self.streams:
             raise ConnectionLostError(CloseReason.UPSTREAM_CLOSES)
         idle_until = inf if self.streams else idle_deadline(self.context, self.idle_since)
-        message = yield min(idle_until, self._next_deadline())
-        if isinstance(message, SocketReady):
+        resume_at = inf if self.input.is_empty else self.loop.now()
+        message = yield min(idle_until, self._next_deadline(), resume_at)
+        if isinstance(message, SocketReady) or not self.input.is_empty:
             self._read()
-        else:
+        if not isinstance(message, SocketReady):
             self._handle_message(message)
         self._end_expired()
         if not self.streams and self.loop.now() >= idle_until:
@@ -158,7 +160,7 @@
 
     def _end_expired(self) -> None:
         now = self.loop.now()
-        if any(e.commit_at <= now for e in self.streams.values()) and not self.stream.has_no_input():
+        if any(e.commit_at <= now for e in self.streams.values()) and self._has_input():
             self._read()  # the end of a response may have come before its status has to be given away
         for stream_exchange in [e for e in self.streams.values() if e.next_deadline <= now]:
             if stream_exchange.commit_at <= now:
@@ -201,7 +203,7 @@
             return
         self.pool.note_started(exchange, self.loop.now())
         try:
-            stream_exchange = self._open_stream(exchange)
+            stream_exchange = open_stream(self.http, exchange, self.context)
         except h2.exceptions.ProtocolError:
             # h2 rejects this request, or stream ids are used up; the other exchanges continue.
             self.closing = True
@@ -213,33 +215,26 @@
         self.exchange_count += 1
         stream_exchange.send_body(self.http)
 
-    def _open_stream(self, exchange: Exchange) -> StreamExchange:
-        stream_id = self.http.get_next_available_stream_id()
-        head = build_request(exchange, self.context, self.loop.now())
-        authority = next((value for name, value in head.headers if name.lower() == b"host"), b"")
-        pseudo_headers = [
-            (b":method", head.method),
-            (b":scheme", b"http"),
-            (b":authority", authority),
-            (b":path", head.target),
-        ]
-        headers = [(name.lower(), value) for name, value in head.headers if name.lower() != b"host"]
-        unsent = self._body_parts(exchange.pending)
-        response_body = BufferedBody(self.context.buffer_pool)
-        self.http.send_headers(stream_id, [*pseudo_headers, *headers], end_stream=not unsent)
-        return StreamExchange(exchange, stream_id, response_body, unsent)
-
-    def _body_parts(self, pending: PendingRequest | None) -> list[bytes]:
-        """Return the parts of a request's body; a health check (None) has none."""
-        if pending is None:
-            return []
-        if isinstance(pending.body, BodyStream):
-            raise TypeError("a body that is still being received can't be sent over HTTP/2")
-        return [bytes(view) for view in pending.body.views()]
-
     # Receiving.
 
     def _read(self) -> None:
+        """Handle a bounded number of events; the rest of the input is left to a later turn."""
+        if self.input.is_empty:
+            self._receive()
+        handled = 0
+        while not self.input.is_empty and handled < MAX_EVENTS_PER_TURN / 2:
+            events = self.input.next_events()
+            handled += len(events)
+            for event in events:
+                self._handle_event(event)
+        self.loop.turns_cut_short += not self.input.is_empty
+        for stream_exchange in [e for e in self.streams.values() if e.awaits_rest]:
+            self._act_on_head(stream_exchange)
+
+    def _has_input(self) -> bool:
+        return not (self.input.is_empty and self.stream.has_no_input())
+
+    def _receive(self) -> None:
         scratch = self.context.buffer_pool.scratch
         try:
             count = self.stream.sock.recv_into(scratch)
@@ -249,19 +244,13 @@
             raise ConnectionLostError(CloseReason.RESET) from error
         if not count:
             raise ConnectionLostError(CloseReason.UPSTREAM_CLOSED)
-        data = bytes(memoryview(scratch)[:count])
-        self.preface.check(data)
-        try:
-            events = self.http.receive_data(data)
-        except h2.exceptions.ProtocolError as error:
-            raise ConnectionLostError(CloseReason.MALFORMED) from error
-        for event in events:
-            self._handle_connection_event(event)
-            stream_exchange = self.streams.get(getattr(event, "stream_id", None) or 0)
-            if stream_exchange is not None:
-                self._handle_stream_event(event, stream_exchange)
-        for stream_exchange in [e for e in self.streams.values() if e.awaits_rest]:
-            self._act_on_head(stream_exchange)
+        self.input.add(bytes(memoryview(scratch)[:count]))
+
+    def _handle_event(self, event: h2.events.Event) -> None:
+        self._handle_connection_event(event)
+        stream_exchange = self.streams.get(getattr(event, "stream_id", None) or 0)
+        if stream_exchange is not None:
+            self._handle_stream_event(event, stream_exchange)
 
     def _handle_connection_event(self, event: h2.events.Event) -> None:
         match event:
