The first bytes of a body are held back up to the limit of 2 s less the process's delay

Cause: 1.5 s was a figure between the limit and nothing; each tenth of a second less is a commitment that nothing requires yet. Change: the limit of 2 s less PROCESS_DELAY_MARGIN, as for the endpoint list's lease.

--- a/starlingwheel/decisions/response_commitment.py
+++ b/starlingwheel/decisions/response_commitment.py
@@ -13,11 +13,11 @@
 
 import enum
 
+from .lease import PROCESS_DELAY_MARGIN
 from .model import Request
 
-# Seconds after the first byte of a body at which it is passed on. Of a long response no byte may be held back
-# for 2 s.
-MAX_HOLD_TIME = 1.5
+HOLD_LIMIT = 2.0  # seconds for which no byte of a long response may be held back
+MAX_HOLD_TIME = HOLD_LIMIT - PROCESS_DELAY_MARGIN  # seconds
 # Of the client's time, and seconds at most: how long before its end a response is passed on of which a part
 # of the body has come. It covers the way of the status through the process.
 PASS_ON_FRACTION = 1 / 32
