What is held back when a stopped process has to answer is answered and not passed on

A response was passed on shortly before answer_by, 0.2 s before the process may be killed: its client, which waits for longer than 3.5 s, would have been cut off by the kill, though a final response could be given. Change: the commitment follows the client's time alone; the request of a response that is held back until answer_by is rejected or failed there. The message that woke exchanges at a stop goes; the one left says that buffers are needed.

--- a/starlingwheel/decisions/response_commitment.py
+++ b/starlingwheel/decisions/response_commitment.py
@@ -39,13 +39,14 @@
 def commit_time(request: Request, body_began_at: float | None) -> float:
     """Return the time at which a response that may be passed on has to be, complete or not.
 
-    `body_began_at`: when the first byte of its body came; None: not yet. The time moves: while a long request
-    arrives, with the first byte of the response's body, and when the process is stopped.
+    `body_began_at`: when the first byte of its body came; None: not yet. The time moves while a long request
+    arrives, and with the first byte of the response's body. A process that is stopped may be killed before
+    the response ends, so what is still held back by then is given up and not passed on.
     """
     pass_on_time = min(PASS_ON_FRACTION * request.time_left, MAX_PASS_ON_TIME)
     if body_began_at is None:
-        return request.deadline - HEAD_ALONE_FRACTION * pass_on_time
-    return min(request.deadline - pass_on_time, body_began_at + MAX_HOLD_TIME)
+        return request.client_deadline - HEAD_ALONE_FRACTION * pass_on_time
+    return min(request.client_deadline - pass_on_time, body_began_at + MAX_HOLD_TIME)
 
 
 def commit_reason(body_began_at: float | None, now: float) -> CommitReason:
--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -17,7 +17,6 @@
 from .discovery.messages import LEFT_STATE, DiscoveredEndpoint
 from .http.pool import ConnectionPool
 from .messages import (
-    EXCHANGES_CHANGED,
     WATCH_ENDPOINTS,
     CancelExchange,
     ClientDisconnected,
@@ -112,7 +111,6 @@
                 self.scheduler.gossip_received(peer, body)
             case ShutdownStarted(answer_by):
                 self.scheduler.begin_shutdown(answer_by)
-                self._move_deadlines()
 
     def _handle_response(self, message: ResponseHeadReceived | ResponseStarted | ExchangeEnded) -> None:
         match message:
@@ -124,13 +122,6 @@
             case ExchangeEnded(exchange, outcome, load_report, response):
                 self._exchange_ended(exchange, outcome, load_report, response)
 
-    def _move_deadlines(self) -> None:
-        """Have the exchanges of all requests notice that the process has been stopped."""
-        for pending in self.pending_requests.values():
-            for exchange in pending.exchanges.values():
-                if exchange.connection is not None:
-                    exchange.connection.post(EXCHANGES_CHANGED)
-
     def _timer_due(self) -> None:
         if self.restart_at <= self.scheduler.now:
             self.restart_at = inf
--- a/starlingwheel/net/http/exchange_events.py
+++ b/starlingwheel/net/http/exchange_events.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, overload
 
 from ..loop import SocketReady
-from ..messages import CancelExchange, ExchangesChanged
+from ..messages import CancelExchange, CommitRequired
 from ..state.requests import Exchange
 from .errors import CloseReason, ConnectionLostError
 
@@ -29,7 +29,7 @@
 def next_socket_event(
     exchange: Exchange | None, deadline: float, on_timeout: CloseReason, pause_at: float = inf
 ) -> Coroutine[SocketReady | None]:
-    """Return the next event of the socket, or None at `pause_at` or when one of the times has moved.
+    """Return the next event of the socket, or None at `pause_at` or when the response has to be passed on.
 
     Raises `ConnectionLostError` when the exchange is cancelled, and with the reason `on_timeout` at the
     deadline.
@@ -44,7 +44,7 @@
             return message
         if isinstance(message, CancelExchange) and message.exchange is exchange:
             raise ConnectionLostError(CloseReason.CANCELLED)
-        if isinstance(message, ExchangesChanged) and pause_at < inf:
+        if isinstance(message, CommitRequired) and pause_at < inf:
             return None
 
 
--- a/starlingwheel/net/messages.py
+++ b/starlingwheel/net/messages.py
@@ -118,8 +118,8 @@
     exchange: Exchange
 
 
-class ExchangesChanged:
-    """To a connection to an endpoint: a time by which something is due has moved in one of its exchanges."""
+class CommitRequired:
+    """To a connection to an endpoint: a response that is held back has to be passed on now."""
 
 
 @dataclass(slots=True, eq=False)
@@ -209,4 +209,4 @@
 STOP = Stop()
 CLOSE = Close()
 DRAIN = Drain()
-EXCHANGES_CHANGED = ExchangesChanged()
+COMMIT_REQUIRED = CommitRequired()
--- a/starlingwheel/net/state/held_responses.py
+++ b/starlingwheel/net/state/held_responses.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from ..messages import EXCHANGES_CHANGED
+from ..messages import COMMIT_REQUIRED
 from .buffers import BufferPool
 from .requests import Exchange
 
@@ -34,4 +34,4 @@
         del self.exchanges[exchange]
         exchange.must_commit = True
         if exchange.connection is not None:
-            exchange.connection.post(EXCHANGES_CHANGED)
+            exchange.connection.post(COMMIT_REQUIRED)
