--- a/trials/soak/plan.py
+++ b/trials/soak/plan.py
@@ -23,6 +23,7 @@
 SHORT_TIME_SHARE, SHORT_TIMES = 0.15, (0.2, 0.5)  # of the requests, and seconds that their clients wait
 PIECES_SHARE, PIECE_SIZES, PIECE_PAUSES = 0.15, (1, 300), (0.0, 0.004)  # of the responses; bytes and seconds
 MAX_PIECES = 200  # of one response
+PAUSE_TIMES = (0.02, 0.15)  # seconds for which a process is held up
 SERIES = 14  # signals within a second
 
 
@@ -111,6 +112,7 @@
         self.moves_discovery = rng.random() < 0.5  # with each reload
         outage_at = rng.uniform(1, LOAD_TIME - 1)
         self.outage = (outage_at, outage_at + rng.uniform(1, 4)) if rng.random() < 0.4 else None
+        self.pauses_at = sorted(rng.uniform(0.5, LOAD_TIME + 1) for _ in range(rng.choice([0, 0, 6])))
         factor = 0.5 if rng.random() < HALVED_SHARE else 1.0
         self.limits = {name: int(limit * factor) for name, limit in LIMITS.items()}
         self.count = 0
@@ -162,6 +164,7 @@
             "server_changes": [round(at, 2) for at in self.server_changes_at],
             "drains": [round(at, 2) for at in self.drains_at],
             "sidecars": self.sidecars,
+            "pauses": len(self.pauses_at),
             "limits": self.limits,
             "moves": self.moves_discovery,
             "outage": [round(at, 2) for at in self.outage or ()],
--- a/trials/soak/run.py
+++ b/trials/soak/run.py
@@ -18,7 +18,7 @@
 from ..verdict import TrialResult
 from .clients import SoakClients
 from .judge import DRAIN_GRACE, MISSED_NOTICE_TIME, NOTICE_TIME, Judge
-from .plan import LOAD_TIME, SoakPlan
+from .plan import LOAD_TIME, PAUSE_TIMES, SoakPlan
 from .servers import ServerIdentity, SoakServers
 
 SERVERS = 6
@@ -138,6 +138,7 @@
         faults: list[Any] = [self._reload(at) for at in plan.reloads_at]
         faults += [self._change_server(at) for at in plan.server_changes_at]
         faults += [self._drain_server(at) for at in plan.drains_at]
+        faults += [self._hold_up(at) for at in plan.pauses_at]
         if plan.is_replaced:
             faults.append(self._replace(first.sidecar))
         if plan.outage is not None:
@@ -167,6 +168,16 @@
             sidecar.process.write_configuration(sidecar.configuration())
             sidecar.process.signal(signal.SIGHUP)
 
+    async def _hold_up(self, at: float) -> None:
+        """Have a process get no processor time for a moment."""
+        await self._sleep_until(at)
+        process = self.plan.rng.choice(self.nodes).sidecar.process
+        process.signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(self.plan.rng.uniform(*PAUSE_TIMES))
+        finally:
+            process.signal(signal.SIGCONT)
+
     async def _interrupt_discovery(self, begin: float, end: float) -> None:
         """Have discovery refuse connections and end the watches for a while."""
         await self._sleep_until(begin)
