--- a/starlingwheel/net/context.py
+++ b/starlingwheel/net/context.py
@@ -29,9 +29,9 @@
 from .messages import DRAIN, ConfigReloaded, EndpointsChanged, EndStalledResponse
 from .state.buffers import BUFFER_SIZE, BufferPool
 from .state.connections import ConnectionTracker
-from .state.executed_ids import ExecutedIds
 from .state.held_responses import HeldResponses
 from .state.overrides import EndpointOverrides
+from .state.request_ids import RequestIds
 from .state.requests import Exchange
 from .state.response_variety import ResponseVariety
 from .state.siblings import SiblingProcesses
@@ -133,7 +133,7 @@
             balancer_config.drain_grace, pushed=not balancer_config.must_watch_endpoints
         )
         self.gate = AttemptGate(self.lease, self.overrides, self.loop.now, self.log)
-        self.executed_ids = ExecutedIds(None)
+        self.request_ids = RequestIds(self.log)
         self.active_traces: set[bytes] = set()  # trace ids of the requests that clients wait for
         self.resets_expected_until = -inf  # until then connections to endpoints may be reset at any time
         self.commitments: Counter[CommitReason] = Counter()  # responses passed on before they were complete
@@ -161,47 +161,12 @@
         """Check whether another process of this sidecar is running, and divide the limits accordingly."""
         processes = 1 + (self.siblings is not None and self.siblings.has_others())
         if processes == 1:
-            self._compact_ids()
+            self.request_ids.compact()
         if processes != self.process_count:
             self.log("processes", count=processes)
             self.set_process_count(processes)
             self.reload(self.balancer_config)
 
-    # Ids of requests.
-
-    def share_ids(self, folder: str) -> None:
-        """Share the ids of requests that may have run with the other processes of this sidecar."""
-        try:
-            self.executed_ids = ExecutedIds(folder)
-        except OSError as error:
-            self.log("ids.failed", error=str(error))
-
-    def claim_id(self, trace_id: bytes) -> bool:
-        """Reserve an id for a request that must not run twice; return False if it may have run already."""
-        try:
-            return self.executed_ids.claim(trace_id)
-        except OSError as error:
-            self._stop_sharing_ids(error)
-            return self.executed_ids.claim(trace_id)
-
-    def release_id(self, trace_id: bytes) -> None:
-        """Let an id be used again, as its request has not run or may be sent again without harm."""
-        try:
-            self.executed_ids.release(trace_id)
-        except OSError as error:
-            self._stop_sharing_ids(error)
-
-    def _compact_ids(self) -> None:
-        try:
-            self.executed_ids.compact()
-        except OSError as error:
-            self._stop_sharing_ids(error)
-
-    def _stop_sharing_ids(self, error: OSError) -> None:
-        """Go on without the log; the ids that are known stay."""
-        self.log("ids.failed", error=str(error))
-        self.executed_ids.close()
-
     # Configuration.
 
     def reload(self, balancer_config: BalancerConfig) -> None:
--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -133,7 +133,7 @@
     def _accept_request(self, pending: PendingRequest) -> None:
         """Dispatch a request, unless it must not run twice and its id may have run already."""
         if pending.request.request_class.retry_safety is not RetrySafety.IDEMPOTENT:
-            if not self.context.claim_id(pending.trace_id):
+            if not self.context.request_ids.claim(pending.trace_id):
                 self._reject_repeated_id(pending)
                 return
             pending.id_claimed = True
@@ -151,7 +151,7 @@
         """Let the id of a request be used again."""
         if pending.id_claimed:
             pending.id_claimed = False
-            self.context.release_id(pending.trace_id)
+            self.context.request_ids.release(pending.trace_id)
 
     def _client_disconnected(self, pending: PendingRequest) -> None:
         if not pending.awaits_response:
--- a/starlingwheel/net/lifecycle/sidecar.py
+++ b/starlingwheel/net/lifecycle/sidecar.py
@@ -118,7 +118,7 @@
             context.siblings = SiblingProcesses(folder)
         except OSError as error:
             context.log("beside.failed", error=str(error))
-        context.share_ids(folder)
+        context.request_ids.share(folder)
         context.check_siblings()
 
     def _log_start(self) -> None:
--- a/tests/test_executed_ids.py
+++ b/tests/test_executed_ids.py
@@ -84,16 +84,20 @@
 ) -> None:
     """The ids are then kept by this process alone."""
     context = harness.context
-    context.share_ids(str(tmp_path))
-    assert context.claim_id(b"a")
+    context.request_ids.share(str(tmp_path))
+    assert context.request_ids.claim(b"a")
 
     def fail(ids: ExecutedIds, record: int) -> int:
         raise OSError(errno.ENOSPC, "no space")
 
     monkeypatch.setattr(ExecutedIds, "_append", fail)
-    assert context.claim_id(b"b") and not context.claim_id(b"a") and not context.claim_id(b"b")
+    assert (
+        context.request_ids.claim(b"b")
+        and not context.request_ids.claim(b"a")
+        and not context.request_ids.claim(b"b")
+    )
     assert harness.log_lines("ids.failed")
-    context.share_ids(str(tmp_path / "missing"))
+    context.request_ids.share(str(tmp_path / "missing"))
     assert len(harness.log_lines("ids.failed")) == 2
 
 
@@ -105,8 +109,8 @@
     monkeypatch.setattr(executed_ids, "MAX_LOG_SIZE", 400)
     monkeypatch.setattr(stats, "STATS_INTERVAL", 0.05)
     harness = make_harness()
-    harness.context.share_ids(str(tmp_path))
-    assert all(harness.context.claim_id(b"%d" % i) for i in range(100))
+    harness.context.request_ids.share(str(tmp_path))
+    assert all(harness.context.request_ids.claim(b"%d" % i) for i in range(100))
     harness.wait_until(lambda: (tmp_path / IDS_FILE).stat().st_size <= 400)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,7 +25,14 @@
     plans = [SoakPlan(seed) for seed in SEEDS]
     for name in ("is_replaced", "has_crowd", "has_noise"):
         assert {getattr(plan, name) for plan in plans} == {True, False}
-    for name in ("moves_discovery", "discovery_fails", "outage", "drains_at", "server_changes_at", "pauses_at"):
+    for name in (
+        "moves_discovery",
+        "discovery_fails",
+        "outage",
+        "drains_at",
+        "server_changes_at",
+        "pauses_at",
+    ):
         assert {bool(getattr(plan, name)) for plan in plans} == {True, False}, name
     assert max(len(plan.reloads_at) for plan in plans) == SERIES
     assert {plan.sidecars for plan in plans} >= {1, 2, 3, 5}
--- a/trials/scale/counts.py
+++ b/trials/scale/counts.py
@@ -13,13 +13,14 @@
 
 import msgspec
 
+from ..processes import cpu_time
+
 TCP_INFO = 11  # number of the socket option
 TCP_INFO_SIZE = 256  # bytes
 # Bytes of a segment's IPv4 and TCP headers with timestamps, as loopback and most networks send them.
 HEADER_SIZE = 52
 PIDFD_GETFD = 438  # number of the system call
 PAGE_SIZE = os.sysconf("SC_PAGE_SIZE")  # bytes
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 KIBIBYTE = 1024  # bytes
 libc = ctypes.CDLL(None, use_errno=True)
 
@@ -85,12 +86,6 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_SIZE
 
 
-def cpu_seconds(pid: int) -> float:
-    """Return the CPU time of a process so far in seconds."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
 def difference_of(before: Sample, after: Sample) -> Sample:
     """Return the difference of two samples, with the sockets and the memory of the later one.
 
@@ -114,7 +109,7 @@
     The links of the process are its sockets bound to `host` on ports other than `excluded_ports`. Closed
     sockets are not counted.
     """
-    sample = Sample(cpu_s=cpu_seconds(pid), memory=resident_memory(pid))
+    sample = Sample(cpu_s=cpu_time(pid), memory=resident_memory(pid))
     pidfd = os.pidfd_open(pid)
     try:
         for name in os.listdir(f"/proc/{pid}/fd"):
