A response that may be a copy of an earlier one is not passed on because buffers are short

Such a response was listed among those that give way; passed on, its head alone would have gone, its body would have stayed in the buffers, and its status could not be taken back if it proves a copy. Change: only a response that is already told from a copy is listed.

--- a/starlingwheel/net/http/response_attribution.py
+++ b/starlingwheel/net/http/response_attribution.py
@@ -145,6 +145,10 @@
         """
         if len(self.prefix) >= COMPARED_PREFIX:
             self.check(status, length)
+        return self.is_no_copy(status, length)
+
+    def is_no_copy(self, status: int, length: int | None) -> bool:
+        """Return whether what has come of a response already tells it from a copy of an earlier one."""
         return not self._may_be_copy(status, length)
 
     def _may_be_copy(self, status: int, length: int | None) -> bool:
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -188,7 +188,7 @@
             self.body.add(data, beyond_limit=True)
         elif not self.is_result_known:
             self.body.add(data)
-            if self._may_pass_on():
+            if self._may_pass_on() and self._is_no_copy():
                 self.context.held_responses.note(self.exchange)
 
     def _pass_on_body(self, relay: BodyStream) -> None:
@@ -204,6 +204,9 @@
         """
         return self.head is not None and self.attribution.is_certain(self.head.status_code, self.length)
 
+    def _is_no_copy(self) -> bool:
+        return self.head is not None and self.attribution.is_no_copy(self.head.status_code, self.length)
+
     def _complete(self, head: h11.Response) -> None:
         """Handle the end of the response. Raises `ConnectionLostError` if it may be a copy."""
         self.attribution.check(head.status_code, self.attribution.length)
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -229,6 +229,27 @@
             received += harness.wait_until(lambda: harness.read(client))
 
 
+def test_a_response_that_may_be_a_copy_is_not_passed_on_because_buffers_are_short(
+    restless_harness: SidecarHarness,
+) -> None:
+    """Its body could not follow, so that would free nothing and give its status away."""
+    harness = restless_harness
+    body = b"1" * 60_000
+    head = b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    client, upstream, _ = answer_first_request(harness, "look", head + chunk(body) + b"0\r\n\r\n")
+    pool = harness.context.buffer_pool
+    taken = [pool.acquire() for _ in range(pool.available - 12)]
+    client.sendall(harness.request_bytes("look", x_trace_id="t2"))
+    harness.read_request(upstream)
+    upstream.sendall(head + chunk(body[:300]))
+    harness.run_for(0.2)
+    assert pool.is_short and not harness.log_lines("response.begun")
+    upstream.sendall(chunk(b"2" * 300))
+    harness.wait_until(lambda: harness.log_lines("response.begun"))
+    for buffer in taken:
+        pool.release(buffer)
+
+
 @pytest.mark.parametrize("sockets", [96, 192])
 def test_stalled_responses_make_room_for_others(
     make_harness: Callable[..., SidecarHarness], monkeypatch: pytest.MonkeyPatch, sockets: int
