A request whose begun response may be long is not given up in a turn that comes late

Cause: the decisions gave the request up at its deadline, the connection passes the response on shortly before it. A process that is held up over both handles them in one turn, where an alarm that was due earlier brings the decisions' turn first. Change: while a response that may be long is held back, only its end, its commitment, its client or the end of a stopped process ends the request; the connection always commits by the client's time.

--- a/starlingwheel/decisions/dispatch.py
+++ b/starlingwheel/decisions/dispatch.py
@@ -160,13 +160,18 @@
         """Determine again until when attempts start, and when the request is given up.
 
         Both move while a long body arrives. A response that has begun is awaited until the deadline: an
-        endpoint that is sending it must not be cut off for the objective.
+        endpoint that is sending it must not be cut off for the objective. One that may be long is passed on
+        by then; a host that was held up does that late, and the request must not be given up before.
         """
         latest_start = self._latest_start()
         give_up_at = self.dispatcher.admission.give_up_at(self.request, self.objective)
         self.start_until = min(give_up_at, latest_start)
-        responding = any(attempt.pending and attempt.head_received for attempt in self.attempts)
-        self.give_up_at = min(self.request.deadline, latest_start) if responding else self.start_until
+        responding = [attempt for attempt in self.attempts if attempt.pending and attempt.head_received]
+        self.give_up_at = self.start_until
+        if responding:
+            is_passed_on = any(attempt.may_be_long for attempt in responding)
+            until = self.request.answer_by if is_passed_on else self.request.deadline
+            self.give_up_at = min(until, latest_start)
 
     def _latest_start(self) -> float:
         """Return until when an endpoint may still get the end of the request, if the process is stopping.
--- a/starlingwheel/decisions/model.py
+++ b/starlingwheel/decisions/model.py
@@ -98,6 +98,7 @@
     load: float = 0.0
     pending: bool = True
     head_received: bool = False  # the head of a successful response has come, the rest not yet
+    may_be_long: bool = False  # that response is passed on by the end of its client's time, if it goes on
     outcome: AttemptOutcome | None = None
 
     @property
--- a/starlingwheel/decisions/scheduler.py
+++ b/starlingwheel/decisions/scheduler.py
@@ -167,15 +167,15 @@
             scheduled.answered = True
         self._resume(scheduled, event)
 
-    def head_received(self, attempt: Attempt, is_load: bool = True) -> None:
+    def head_received(self, attempt: Attempt, may_be_long: bool = False) -> None:
         """Handle the head of a successful response, of which the client has got nothing yet.
 
-        `is_load`: the attempt counts as load until its end, or until the latency objective has passed.
+        One that may be long is passed on by the host by the end of its client's time, unless it ends before.
         """
         if attempt.pending:
-            attempt.head_received = True
+            attempt.head_received, attempt.may_be_long = True, may_be_long
             self.balancer.head_received(attempt)
-            if not is_load:
+            if may_be_long:
                 self.balancer.release_load(attempt)
             self._resume_request(attempt.request, None)
 
--- a/starlingwheel/net/coordinator.py
+++ b/starlingwheel/net/coordinator.py
@@ -116,7 +116,7 @@
         match message:
             case ResponseHeadReceived(exchange, may_be_long):
                 if exchange.attempt is not None:
-                    self.scheduler.head_received(exchange.attempt, is_load=not may_be_long)
+                    self.scheduler.head_received(exchange.attempt, may_be_long)
             case ResponseStarted(exchange, response):
                 self._response_started(exchange, response)
             case ExchangeEnded(exchange, outcome, load_report, response):
--- a/tests/decisions/test_dispatch.py
+++ b/tests/decisions/test_dispatch.py
@@ -92,6 +92,18 @@
     assert host.answers_to(request) == [AnswerKind.FAILED]
 
 
+def test_a_response_that_may_be_long_is_left_to_the_host_until_the_process_is_stopped(host: FakeHost) -> None:
+    """It is passed on by the deadline, a little later if the host was held up; giving up would cut it off."""
+    request = host.submit(BUY)
+    host.scheduler.head_received(host.attempts_of(request)[0], may_be_long=True)
+    assert not host.attempts_of(request)[0].endpoint.in_flight
+    host.advance(2.2)
+    assert host.answers_to(request) == [] and not host.cancelled
+    host.scheduler.begin_shutdown(host.scheduler.now + 0.5)
+    host.advance(0.6)
+    assert host.answers_to(request) == [AnswerKind.FAILED]
+
+
 def test_no_attempt_starts_after_the_objective_though_a_response_has_begun(host: FakeHost) -> None:
     """Its own response would be late, and takes capacity from requests that can still be in time."""
     host.serve(110)
--- a/tests/test_held_responses.py
+++ b/tests/test_held_responses.py
@@ -145,6 +145,21 @@
     assert harness.read_status(client) == 504
 
 
+@pytest.mark.parametrize("head", [*UNKNOWN_LENGTH, f"Content-Length: {LONG}"])
+def test_a_process_that_was_held_up_over_the_clients_time_passes_the_response_on(
+    make: Callable[..., SidecarHarness], monkeypatch: pytest.MonkeyPatch, head: str
+) -> None:
+    """Its endpoint still sends; an alarm of the decisions that is due as well must not give it up before."""
+    monkeypatch.setattr(hedging, "INITIAL_DELAY", 0.8)
+    harness = make(upstreams=2, hedges=True)
+    harness.send_request("look", x_expires_in_ms=str(int(1000 * CLIENT_TIME)))  # its hedge is due meanwhile
+    harness.read_request(harness.wait_until(harness.accept_any)[1])
+    client, _ = begin(harness, head)
+    harness.run_for(0.1)
+    time.sleep(CLIENT_TIME)
+    assert harness.wait_until(lambda: harness.read(client)).startswith(b"HTTP/1.1 200")
+
+
 def test_of_two_begun_responses_the_one_that_has_a_part_of_its_body_is_passed_on(
     make: Callable[..., SidecarHarness], monkeypatch: pytest.MonkeyPatch
 ) -> None:
