--- a/fakes/http1.py
+++ b/fakes/http1.py
@@ -31,6 +31,7 @@
     headers: dict[str, str]
     body: bytes
     client_address: tuple[str, int]  # host and port
+    head_at: float = 0.0  # when its head was read, in seconds on the loop's clock
 
 
 @dataclass
@@ -177,7 +178,7 @@
 
     async def _read_request(self, connection: Connection) -> Request | None:
         """Return the next request, or None at the end of the connection."""
-        head, body = None, b""
+        head, body, head_at = None, b"", 0.0
         while True:
             event = connection.http.next_event()
             if event is h11.NEED_DATA:
@@ -185,13 +186,18 @@
                     await asyncio.sleep(self.read_pause)
                 connection.http.receive_data(await connection.reader.read(READ_SIZE))
             elif isinstance(event, h11.Request):
-                head = event
+                head, head_at = event, asyncio.get_running_loop().time()
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 client_address = connection.writer.get_extra_info("peername")
                 return Request(
-                    head.method.decode(), head.target.decode(), _decode_headers(head), body, client_address
+                    head.method.decode(),
+                    head.target.decode(),
+                    _decode_headers(head),
+                    body,
+                    client_address,
+                    head_at,
                 )
             else:
                 return None
--- a/trials/soak/clients.py
+++ b/trials/soak/clients.py
@@ -9,6 +9,7 @@
 
 from fakes.client_connection import ClientConnection, ReceivedResponse, request_head
 
+from ..single import SingleSidecar
 from .judge import ClientRecord, Judge
 from .plan import METHODS, RequestPlan
 from .servers import upload_for
@@ -32,12 +33,15 @@
 class SoakClients:
     """All clients of one sidecar."""
 
-    def __init__(self, address: str, judge: Judge, rng: random.Random, may_be_shut_out: bool) -> None:
+    def __init__(
+        self, sidecar: SingleSidecar, judge: Judge, rng: random.Random, may_be_shut_out: bool
+    ) -> None:
         """Create them without a connection.
 
         `may_be_shut_out`: other clients fill the descriptors, so that new connections may be closed unread.
         """
-        self.address, self.judge, self.rng = address, judge, rng
+        self.name, self.address = sidecar.name, sidecar.address
+        self.judge, self.rng = judge, rng
         self.may_be_shut_out = may_be_shut_out
         self.idle: list[ClientConnection] = []
         self.accepts_new = True  # whether clients open further connections
@@ -57,7 +61,7 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _request(self, plan: RequestPlan, kept: ClientConnection | None) -> None:
-        record = self.judge.records[plan.trace] = ClientRecord(plan)
+        record = self.judge.records[plan.trace] = ClientRecord(plan, self.name)
         response = await self._attempt(record, kept)
         if kept is not None and response is not None and response.was_closed and not response.status:
             # The sidecar may close a kept connection while a request crosses that.
--- a/trials/soak/run.py
+++ b/trials/soak/run.py
@@ -17,7 +17,7 @@
 from ..single import SingleSidecar
 from ..verdict import TrialResult
 from .clients import SoakClients
-from .judge import DRAIN_GRACE, MISSED_NOTICE_TIME, NOTICE_TIME, Judge
+from .judge import DRAIN_GRACE, MISSED_NOTICE_TIME, NOTICE_TIME, Judge, Kill
 from .plan import LOAD_TIME, PAUSE_TIMES, SoakPlan
 from .servers import ServerIdentity, SoakServers
 
@@ -87,7 +87,7 @@
         )
         await stack.enter_async_context(sidecar)
         may_be_shut_out = is_first and (plan.has_crowd or plan.has_noise)
-        return SoakNode(sidecar, SoakClients(sidecar.address, self.judge, plan.rng, may_be_shut_out))
+        return SoakNode(sidecar, SoakClients(sidecar, self.judge, plan.rng, may_be_shut_out))
 
     async def _play_faults(self) -> None:
         self.started_at = asyncio.get_running_loop().time()
@@ -194,7 +194,7 @@
         await sidecar.replace_process()
         self.terminated.add(former.name)
         await asyncio.sleep(self.plan.kill_after)
-        self._kill(former)
+        self._kill(sidecar, former)
 
     def _choose_server(self) -> ServerIdentity:
         identities = self.servers.identities.values()
@@ -273,11 +273,11 @@
         node.clients.accepts_new = False
         sidecar.close_listener()
         await asyncio.sleep(told_at + self.plan.kill_after - loop.time())
-        self._kill(process)
+        self._kill(sidecar, process)
 
-    def _kill(self, program: SidecarProgram) -> None:
+    def _kill(self, sidecar: SingleSidecar, program: SidecarProgram) -> None:
         if program.alive:
-            self.judge.killed_at.append(asyncio.get_running_loop().time())
+            self.judge.kills.append(Kill(sidecar.name, asyncio.get_running_loop().time()))
             self.judge.counts["processes killed"] += 1
             program.kill()
 
--- a/trials/soak/servers.py
+++ b/trials/soak/servers.py
@@ -67,7 +67,7 @@
             self.judge.other_violations.append(f"unknown request at {identity.endpoint_id}: {trace}")
             return Response(400)
         plan, now = record.plan, asyncio.get_running_loop().time()
-        run = Run(now, identity.endpoint_id, identity.cell, has_run=not plan.never_ran)
+        run = Run(now, request.head_at, identity.endpoint_id, identity.cell, has_run=not plan.never_ran)
         run.place_known = now > identity.known_at
         run.allowed_until = identity.allowed_until
         if not plan.upload:
