--- a/starlingwheel/net/state/buffers.py
+++ b/starlingwheel/net/state/buffers.py
@@ -7,6 +7,7 @@
 MAX_REQUEST_BODY = MAX_BUFFERED_BODY  # bytes of a request body that can't be forwarded while it arrives
 MAX_BODY_SHARE = 1 / 16  # part of all buffers that one body may take
 SHORT_SHARE = 1 / 4  # part of all buffers; while fewer are left, buffers are short
+BUFFERS_PER_BODY = MAX_BUFFERED_BODY // BUFFER_SIZE  # that a body takes at most while it is held back
 
 
 class BuffersExhaustedError(Exception):
@@ -62,9 +63,9 @@
         return self.available * BUFFER_SIZE > len(self.scratch)
 
     @property
-    def is_short(self) -> bool:
-        """Whether few buffers are left."""
-        return self.available < SHORT_SHARE * self.max_buffers
+    def shortage(self) -> float:
+        """The number of buffers that are to be released until enough are left; 0 or less: none."""
+        return SHORT_SHARE * self.max_buffers - self.available
 
 
 class BufferedBody:
--- a/starlingwheel/net/state/held_responses.py
+++ b/starlingwheel/net/state/held_responses.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from ..messages import COMMIT_REQUIRED
-from .buffers import BufferPool
+from .buffers import BUFFERS_PER_BODY, BufferPool
 from .requests import Exchange
 
 
@@ -18,20 +18,27 @@
         """Watch the buffers of `pool`."""
         self.pool = pool
         self.exchanges: dict[Exchange, None] = {}
+        self.releasing: set[Exchange] = set()  # those that are about to be passed on
 
     def note(self, exchange: Exchange) -> None:
-        """Record that a response has stored bytes; have another one passed on if buffers are short."""
+        """Record that a response has stored bytes; have the longest held one passed on if buffers are short.
+
+        Those that are about to be passed on will release theirs.
+        """
         self.exchanges.setdefault(exchange)
-        if self.pool.is_short:
+        if self.pool.shortage > len(self.releasing) * BUFFERS_PER_BODY:
             self._pass_on_longest_held()
 
     def remove(self, exchange: Exchange) -> None:
         """Record that a response is held back no longer; does nothing if it was not."""
         self.exchanges.pop(exchange, None)
+        self.releasing.discard(exchange)
 
     def _pass_on_longest_held(self) -> None:
-        exchange = next(iter(self.exchanges))
-        del self.exchanges[exchange]
+        exchange = next((exchange for exchange in self.exchanges if exchange not in self.releasing), None)
+        if exchange is None:
+            return
+        self.releasing.add(exchange)
         exchange.must_commit = True
         if exchange.connection is not None:
             exchange.connection.post(COMMIT_REQUIRED)
--- a/tests/test_held_responses.py
+++ b/tests/test_held_responses.py
@@ -16,7 +16,8 @@
 from starlingwheel.net.messages import STOP, FinalResponse
 from starlingwheel.net.state.body_stream import BodyStream
 from starlingwheel.net.state.buffers import MAX_BUFFERED_BODY, BufferedBody, BufferPool
-from starlingwheel.net.state.requests import UpstreamResponse
+from starlingwheel.net.state.held_responses import HeldResponses
+from starlingwheel.net.state.requests import Exchange, UpstreamResponse
 
 OBJECTIVE = 0.25  # seconds; the classes' timeout is twice that, as is the time that clients wait
 CLIENT_TIME = 2 * OBJECTIVE
@@ -333,3 +334,24 @@
     harness.wait_until(lambda: harness.log_lines("client.end"))
     connections = harness.context.connections
     assert (connections.client_ends, connections.endpoint_ends) == ({"client-closed": 1}, {"malformed": 1})
+
+
+def test_no_more_responses_are_passed_on_than_the_shortage_of_buffers_requires() -> None:
+    """Those that were told to release their buffers only do so in a later turn."""
+    pool = BufferPool(160)
+    taken = [pool.acquire() for _ in range(121)]
+    held = HeldResponses(pool)
+    exchanges = [Exchange(None, None, 0.0, 1.0) for _ in range(5)]
+    for exchange in exchanges * 3:
+        held.note(exchange)
+    assert [exchange.must_commit for exchange in exchanges] == [True, False, False, False, False]
+    taken += [pool.acquire() for _ in range(8)]
+    for exchange in exchanges:
+        held.note(exchange)
+    assert [exchange.must_commit for exchange in exchanges] == [True, True, False, False, False]
+    for exchange in exchanges[:2]:
+        held.remove(exchange)
+    for buffer in taken[:10]:
+        pool.release(buffer)
+    held.note(exchanges[2])
+    assert not exchanges[2].must_commit
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -229,8 +229,9 @@
             received += harness.wait_until(lambda: harness.read(client))
 
 
+@pytest.mark.parametrize("spare", [12, 5])
 def test_a_response_that_may_be_a_copy_is_not_passed_on_because_buffers_are_short(
-    restless_harness: SidecarHarness,
+    restless_harness: SidecarHarness, spare: int
 ) -> None:
     """Its body could not follow, so that would free nothing and give its status away."""
     harness = restless_harness
@@ -238,12 +239,12 @@
     head = b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
     client, upstream, _ = answer_first_request(harness, "look", head + chunk(body) + b"0\r\n\r\n")
     pool = harness.context.buffer_pool
-    taken = [pool.acquire() for _ in range(pool.available - 12)]
+    taken = [pool.acquire() for _ in range(pool.available - spare)]
     client.sendall(harness.request_bytes("look", x_trace_id="t2"))
     harness.read_request(upstream)
     upstream.sendall(head + chunk(body[:300]))
     harness.run_for(0.2)
-    assert pool.is_short and not harness.log_lines("response.begun")
+    assert pool.shortage > 0 and not harness.log_lines("response.begun")
     upstream.sendall(chunk(b"2" * 300))
     harness.wait_until(lambda: harness.log_lines("response.begun"))
     for buffer in taken:
