A reset that a look at the input has found is no end of a response

The system tells of a reset once: the look for unread input before a commitment (MSG_PEEK) took it, and the read after that found the end of the connection, which completes a response without a length. Change: the commitment reads instead of looking. And wherever a look finds an error, Stream remembers it and each read after it raises, so that no other path can take it for an end.

--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -160,7 +160,7 @@
 
     def _end_expired(self) -> None:
         now = self.loop.now()
-        if any(e.commit_at <= now for e in self.streams.values()) and self._has_input():
+        if any(e.commit_at <= now for e in self.streams.values()):
             self._read()  # the end of a response may have come before its status has to be given away
         for stream_exchange in [e for e in self.streams.values() if e.next_deadline <= now]:
             if stream_exchange.commit_at <= now:
@@ -231,9 +231,6 @@
         for stream_exchange in [e for e in self.streams.values() if e.awaits_rest]:
             self._act_on_head(stream_exchange)
 
-    def _has_input(self) -> bool:
-        return not (self.input.is_empty and self.stream.has_no_input())
-
     def _receive(self) -> None:
         scratch = self.context.buffer_pool.scratch
         try:
--- a/starlingwheel/net/http/stream.py
+++ b/starlingwheel/net/http/stream.py
@@ -58,6 +58,9 @@
         self.mask = 0  # the registered events; 0: the socket is not registered
         self.events_in_turn = 0  # since the last read
         self.end_read = False  # the end of the peer's input has been read
+        # A look at the input has found an error, such as a reset. The system tells of it once; a read that
+        # follows would find the end of the connection, as if the peer had closed it.
+        self.has_failed = False
         # When the bytes of the last read had arrived, by the kernel; None where it does not tell.
         self.arrived_at: float | None = None
         sock.setblocking(False)
@@ -87,6 +90,8 @@
         Return None if nothing has arrived, and 0 if the peer has closed its sending side. Raises
         `ConnectionLostError`.
         """
+        if self.has_failed:
+            raise ConnectionLostError(CloseReason.RESET)
         try:
             views = [memoryview(self.pool.scratch)[: self.read_size]]
             count, ancillary, _, _ = self.sock.recvmsg_into(views, TIMESTAMP_SPACE)
@@ -211,6 +216,7 @@
         except BlockingIOError:
             return None
         except OSError:
+            self.has_failed = True
             return b""
 
     def lingering_close(self, until: float, max_discarded: int) -> Generator[float | None, Any, None]:
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -287,12 +287,12 @@
             self.stream.read()
 
     def _read_or_commit(self) -> None:
-        """Begin to relay the response, unless its end has come meanwhile and is still unread."""
-        if not self.has_read_before_commit and not self.stream.has_no_input():
+        """Read what has come meanwhile, which may be the end of the response; begin to relay it then."""
+        if not self.has_read_before_commit:
             self.has_read_before_commit = True
-            self.stream.read()
-        else:
-            self._begin_relay(self.exchange.commit_reason(self.context.loop.now()))
+            if self.stream.read() is not None:
+                return
+        self._begin_relay(self.exchange.commit_reason(self.context.loop.now()))
 
     def _check_readable(self) -> None:
         """Raise `ConnectionLostError` for input that is not HTTP, or no chunk of the body.
--- a/tests/test_held_responses.py
+++ b/tests/test_held_responses.py
@@ -5,13 +5,16 @@
 from collections.abc import Callable
 
 import h2.errors
+import h11
 import pytest
-from conftest import SETTINGS, SidecarHarness, request_class_settings
+from conftest import SETTINGS, SidecarHarness, bound_socket, request_class_settings
 from test_response_heads import UNKNOWN_LENGTH, chunk, send_head
 from test_streams import HTTP2_SETTINGS, Http2Upstream
 
 from starlingwheel.decisions import hedging
+from starlingwheel.net.http.errors import CloseReason, ConnectionLostError
 from starlingwheel.net.http.response_writer import withdraw_if_broken
+from starlingwheel.net.http.stream import Stream
 from starlingwheel.net.lifecycle import shutdown
 from starlingwheel.net.messages import STOP, FinalResponse
 from starlingwheel.net.state.body_stream import BodyStream
@@ -134,14 +137,19 @@
     assert harness.read_message(client)[1] == b"second"
 
 
+@pytest.mark.parametrize("head", [*UNKNOWN_LENGTH, f"Content-Length: {LONG}"])
 def test_an_end_that_has_come_by_then_is_seen_before_the_status_is_given_away(
-    make: Callable[..., SidecarHarness],
+    make: Callable[..., SidecarHarness], head: str
 ) -> None:
-    """The process may be held up over the time at which the response has to be passed on."""
+    """The process may be held up over the time at which the response has to be passed on.
+
+    The system tells of a reset once, and then of an end, which would complete a response without a length.
+    """
     harness = make()
-    client, upstream = begin(harness, "Transfer-Encoding: chunked", b"first")
+    client, upstream = begin(harness, head, b"first")
     harness.run_for(0.1)
     time.sleep(CLIENT_TIME - 0.1)
+    upstream.sendall(chunk(b"more") if "chunked" in head else b"more")
     harness.reset(upstream)
     assert harness.read_status(client) == 504
 
@@ -355,3 +363,23 @@
         pool.release(buffer)
     held.note(exchanges[2])
     assert not exchanges[2].must_commit
+
+
+def test_a_reset_that_a_look_at_the_input_has_found_is_no_end(harness: SidecarHarness) -> None:
+    """The system tells of it once; the read after that would find the end of the connection."""
+
+    class Reader:
+        def post(self, message: object) -> None:
+            pass
+
+    listener = harness.close_at_end(bound_socket())
+    sock = harness.close_at_end(socket.create_connection(listener.getsockname()))
+    peer = listener.accept()[0]
+    stream = Stream(harness.context.loop, Reader(), sock, h11.CLIENT, harness.context.buffer_pool)
+    harness.reset(peer)
+    time.sleep(0.01)
+    assert not stream.has_no_input()
+    for _ in range(2):
+        with pytest.raises(ConnectionLostError) as lost:
+            stream.read()
+        assert lost.value.reason is CloseReason.RESET
