--- a/fakes/delivery.py
+++ b/fakes/delivery.py
@@ -47,7 +47,8 @@
 
     head_at: float | None = None
     body_at: float | None = None  # when the first byte of the body was written
-    sent: int = 0  # bytes of the body
+    sent: int = 0  # bytes of the body, by whole writes
+    partly_sent: int = 0  # bytes of the write in progress, its framing included
     completed_at: float | None = None
     broken_at: float | None = None  # when the other side had closed the connection before the end
     ended_at: float | None = None  # when an ending other than COMPLETE began
--- a/fakes/http1.py
+++ b/fakes/http1.py
@@ -252,13 +252,13 @@
         # What is counted as sent has been taken by the kernel.
         writer.transport.set_write_buffer_limits(high=0)
         await self._write_pieces(writer, self._delivery_head(http, response, delivery), delivery)
-        delivery.head_at = delivery.note()
+        delivery.head_at, delivery.partly_sent = delivery.note(), 0
         await asyncio.sleep(delivery.body_delay)
         for piece in delivery.pieces(response.body):
             framed = piece if delivery.framing is Framing.CLOSE else http.send(h11.Data(data=piece))
             delivery.body_at = delivery.body_at or delivery.note()
             await self._write_pieces(writer, framed or b"", delivery)
-            delivery.sent += len(piece)
+            delivery.sent, delivery.partly_sent = delivery.sent + len(piece), 0
             if delivery.rate != inf:
                 await asyncio.sleep(PIECE_INTERVAL)
 
@@ -268,6 +268,7 @@
         size = delivery.piece_size or len(data)
         for start in range(0, len(data), max(1, size)):
             writer.write(data[start : start + size])
+            delivery.partly_sent += min(size, len(data) - start)
             await writer.drain()
             if delivery.piece_pause:
                 await asyncio.sleep(delivery.piece_pause)
--- a/trials/soak/judge.py
+++ b/trials/soak/judge.py
@@ -232,7 +232,7 @@
         """Return what required that a response had begun for its client when it ended at that time."""
         timeout, delivery = record.plan.timeout, run.delivery
         commit_time = max(MIN_COMMIT_TIME, COMMIT_FRACTION * timeout) + self.max_delay
-        if delivery is not None and delivery.sent > LONG_BODY:
+        if delivery is not None and delivery.sent + delivery.partly_sent > LONG_BODY:
             return Excuse.LONG
         if ended_at >= record.sent_at + timeout - commit_time:
             return Excuse.LATE
