--- a/starlingwheel/net/http/http2.py
+++ b/starlingwheel/net/http/http2.py
@@ -160,9 +160,11 @@
 
     def _end_expired(self) -> None:
         now = self.loop.now()
-        if any(e.commit_at <= now for e in self.streams.values()):
+        expired = [e for e in self.streams.values() if e.next_deadline <= now]
+        if any(e.commit_at <= now for e in expired):
             self._read()  # the end of a response may have come before its status has to be given away
-        for stream_exchange in [e for e in self.streams.values() if e.next_deadline <= now]:
+            expired = [e for e in self.streams.values() if e.next_deadline <= now]
+        for stream_exchange in expired:
             if stream_exchange.commit_at <= now:
                 self._begin_relay(stream_exchange, stream_exchange.exchange.commit_reason(now))
             else:
--- a/starlingwheel/net/http/upstream_response.py
+++ b/starlingwheel/net/http/upstream_response.py
@@ -275,8 +275,7 @@
             yield from self._receive_for_relay(self.relay)
             return
         commit_at = self.exchange.commit_at if self._may_pass_on() else inf
-        has_room = self.context.buffer_pool.has_room_for_read()
-        if commit_at < inf and not has_room and self._is_no_copy():
+        if commit_at < inf and not self.context.buffer_pool.has_room_for_read() and self._is_no_copy():
             self._begin_relay(CommitReason.NO_BUFFERS)
             return
         if self.context.loop.now() >= commit_at:
--- a/starlingwheel/net/state/connections.py
+++ b/starlingwheel/net/state/connections.py
@@ -126,14 +126,19 @@
                 return exchange
         return None
 
+    @property
+    def _staying_clients(self) -> int:
+        """The number of clients that were not told to close."""
+        return len(self.clients) - len(self.closing_clients)
+
     def is_short_of_clients(self) -> bool:
         """Return whether room has to be made for another client, beside those that are closing."""
-        return len(self.clients) - len(self.closing_clients) >= self.client_limit
+        return self._staying_clients >= self.client_limit
 
     def room_due_at(self, grace: float) -> float:
         """Return when a client that takes the room of others will have been silent for `grace` seconds."""
         oldest = next(iter(self.silent_clients), None)
-        is_over = len(self.clients) - len(self.closing_clients) > self.client_limit
+        is_over = self._staying_clients > self.client_limit
         return oldest.opened_at + grace if is_over and oldest is not None else inf
 
     def record_request_part(self, client: object) -> None:
--- a/trials/processes.py
+++ b/trials/processes.py
@@ -89,15 +89,16 @@
             self.process.kill()
             self.process.wait()
 
-    async def wait_until_ready(self) -> None:
-        """Wait until the sidecar accepts requests.
+    async def wait_until_ready(self, address: str = "", path: str = "/ready") -> None:
+        """Wait until the sidecar accepts requests, by its own address or another one of its addresses.
 
         Raises `RuntimeError` if the process ends or READY_TIMEOUT passes first.
         """
-        client, until = HttpClient(self.address), asyncio.get_running_loop().time() + READY_TIMEOUT
+        client = HttpClient(address or self.address)
+        until = asyncio.get_running_loop().time() + READY_TIMEOUT
         while asyncio.get_running_loop().time() < until and self.alive:
             with contextlib.suppress(ConnectionBrokenError):
-                if (await client.call("GET", "/ready", {}))[0] == 200:
+                if (await client.call("GET", path, {}))[0] == 200:
                     client.close()
                     return
             await asyncio.sleep(READY_POLL_INTERVAL)
--- a/trials/single.py
+++ b/trials/single.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import signal
 import socket
@@ -13,11 +12,11 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from fakes.http1 import ConnectionBrokenError, Handler, HttpClient
+from fakes.http1 import Handler
 from fakes.loopback import free_ports, loopback_host
 
 from .backends import Backends, Json
-from .processes import READY_POLL_INTERVAL, READY_TIMEOUT, SidecarProgram
+from .processes import SidecarProgram
 from .rig import CAPS, MEMORY_FOLDER, ROOT
 
 MICROSECONDS = 1_000_000  # in a second
@@ -156,14 +155,7 @@
 
     async def wait_until_taking_clients(self) -> None:
         """Ask the latest process at its operators' address, as clients share the other one."""
-        until = asyncio.get_running_loop().time() + READY_TIMEOUT
-        while asyncio.get_running_loop().time() < until:
-            operator = HttpClient(f"{self.host}:{self.admin_port}")
-            with contextlib.suppress(ConnectionBrokenError):
-                if (await operator.call("GET", "/_ready", {}))[0] == 200:
-                    return
-            await asyncio.sleep(READY_POLL_INTERVAL)
-        raise RuntimeError(f"{self.process.name} takes no clients: {self.process.log()[-2000:]}")
+        await self.process.wait_until_ready(f"{self.host}:{self.admin_port}", "/_ready")
 
     def defects(self) -> list[Json]:
         """Return the log lines that report errors in the program itself."""
